Set down the layout, the core types and the check of purity

Check: tests/test_layout.py fails when a core module imports a clock, a socket, randomness or anything round the core.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,25 @@
+VENV ?= .venv
+PYTHON ?= python3
+STAMP = $(VENV)/.installed
+
+.PHONY: setup format lint test demo
+
+setup: $(STAMP)
+
+$(STAMP): pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet --disable-pip-version-check -e '.[dev]'
+	touch $(STAMP)
+
+format: $(STAMP)
+	$(VENV)/bin/black --quiet .
+
+lint: $(STAMP)
+	$(VENV)/bin/black --check --quiet .
+	$(VENV)/bin/flake8
+
+test: lint
+	$(VENV)/bin/python -m pytest
+
+demo: $(STAMP)
+	$(VENV)/bin/python -m bench.demo
--- /dev/null
+++ b/dragonflyshelf/core/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Order and bounds of waiting requests."""
--- /dev/null
+++ b/dragonflyshelf/core/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""What operators set, and the view made from it."""
--- /dev/null
+++ b/dragonflyshelf/core/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of an upstream and judgement of attempts."""
--- /dev/null
+++ b/dragonflyshelf/core/dispatch/coordinator.py
@@ -0,0 +1,224 @@
+"""Decides about each request: refuse, forward, send or try again."""
+
+from collections import abc
+import dataclasses
+
+from dragonflyshelf.core.configuration import objects
+from dragonflyshelf.core.configuration import view
+from dragonflyshelf.core.dispatch import messages as dispatch
+from dragonflyshelf.core.dispatch import routes
+from dragonflyshelf.core import errors
+from dragonflyshelf.core import ids
+from dragonflyshelf.core.limits import policies
+from dragonflyshelf.core.limits import static_share  # noqa: F401
+from dragonflyshelf.core import messages
+from dragonflyshelf.core import registry
+from dragonflyshelf.core import settings
+from dragonflyshelf.core import states
+
+IDEMPOTENT_METHODS = frozenset(
+    {b"DELETE", b"GET", b"HEAD", b"OPTIONS", b"PUT"}
+)
+
+Effects = list[dispatch.Effect]
+Handler = abc.Callable[["DispatchCoordinator", object, ids.Instant], Effects]
+
+HANDLERS: registry.Registry[type, Handler] = registry.Registry(
+    "dispatch handlers"
+)
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Exchange:
+    """A request that this instance has accepted and not finished."""
+
+    head: messages.RequestHead
+    admitted: messages.Admitted
+    forwarded: bool
+    sent: bool = False
+
+
+class DispatchCoordinator:
+    """Holds every unfinished exchange of this instance."""
+
+    def __init__(
+        self, config: settings.Settings, incarnation: ids.Incarnation
+    ) -> None:
+        """Create the coordinator with an empty view."""
+        self._instance = config.instance.name
+        self._incarnation = incarnation
+        self.view = view.RoutingView()
+        self.limits = policies.LIMIT_POLICIES.get("static_share")()
+        self.lease_until = ids.Instant(0.0)
+        self.exchanges_by_id: dict[ids.ExchangeId, Exchange] = {}
+
+    def handle(self, event: dispatch.Event, now: ids.Instant) -> Effects:
+        """Take in one event and return what is to be done."""
+        return HANDLERS.get(type(event))(self, event, now)
+
+    def on_view(self, objects_view: view.ObjectView) -> None:
+        """Take over a changed view."""
+        self.view.rebuild(objects_view)
+        self.limits.set_instances(len(self.view.members))
+
+    @HANDLERS.register(dispatch.LeaseChanged)
+    def _on_lease(
+        self, event: dispatch.LeaseChanged, now: ids.Instant
+    ) -> Effects:
+        self.lease_until = event.until
+        return []
+
+    @HANDLERS.register(dispatch.RequestArrived)
+    def _on_request(
+        self, event: dispatch.RequestArrived, now: ids.Instant
+    ) -> Effects:
+        try:
+            admitted = self._admit(event.head, now)
+            return self._start(event, admitted, forwarded=False, now=now)
+        except errors.RouterError as error:
+            return [dispatch.Refuse(exchange=event.exchange, error=error)]
+
+    @HANDLERS.register(dispatch.ForwardArrived)
+    def _on_forward(
+        self, event: dispatch.ForwardArrived, now: ids.Instant
+    ) -> Effects:
+        try:
+            return self._start(event, event.admitted, forwarded=True, now=now)
+        except errors.RouterError as error:
+            return [dispatch.Refuse(exchange=event.exchange, error=error)]
+
+    @HANDLERS.register(dispatch.AttemptFinished)
+    def _on_attempt(
+        self, event: dispatch.AttemptFinished, now: ids.Instant
+    ) -> Effects:
+        exchange = self.exchanges_by_id.get(event.exchange)
+        if exchange is None:
+            return []
+        exchange.sent = False
+        if event.error is None or event.answered:
+            return []
+        return [dispatch.Refuse(exchange=event.exchange, error=event.error)]
+
+    @HANDLERS.register(dispatch.ExchangeFinished)
+    def _on_finished(
+        self, event: dispatch.ExchangeFinished, now: ids.Instant
+    ) -> Effects:
+        exchange = self.exchanges_by_id.pop(event.exchange, None)
+        if exchange is None or not exchange.sent:
+            return []
+        return [dispatch.CancelAttempt(exchange=event.exchange)]
+
+    def _admit(
+        self, head: messages.RequestHead, now: ids.Instant
+    ) -> messages.Admitted:
+        name, key = routes.split_target(head.target)
+        found = self.view.routes_by_service.get(name)
+        if found is None:
+            raise errors.NoSuchService(f"no service {name!r}")
+        workspace = self._authenticate(head, found.service)
+        wait = self.limits.admit(workspace, now)
+        if wait > 0:
+            raise errors.RateExceeded(
+                "workspace is over its rate and burst", retry_after=wait
+            )
+        shard = routes.shard_of(found.service, key, head.headers)
+        return messages.Admitted(
+            service=name,
+            workspace=workspace.name,
+            priority=found.service.priority,
+            idempotent=head.method in IDEMPOTENT_METHODS,
+            shard=shard,
+            upstream=self._choose(found, shard, now),
+        )
+
+    def _authenticate(
+        self, head: messages.RequestHead, service: objects.Service
+    ) -> objects.Workspace:
+        name = routes.private_workspace(head, service)
+        if name is None:
+            key = self.view.keys_by_digest.get(head.key_digest)
+            if key is None or key.withdrawn:
+                raise errors.CallerKeyRefused("caller key is not valid")
+            name = key.workspace
+        workspace = self.view.workspaces_by_id.get(name)
+        if workspace is None:
+            raise errors.CallerKeyRefused("workspace does not exist")
+        return workspace
+
+    def _choose(
+        self,
+        found: view.ServiceRoutes,
+        shard: ids.ShardId,
+        now: ids.Instant,
+    ) -> ids.UpstreamId:
+        if shard >= 0:
+            owner = found.owners_by_shard.get(shard)
+            if owner is None:
+                raise errors.NoOwner(f"shard {shard} has no owner")
+            return owner.upstream
+        usable = [
+            one.name
+            for one in found.upstreams
+            if one.state is states.AdminState.IN_SERVICE
+            and one.name in self.view.leaders_by_upstream
+        ]
+        if not usable:
+            raise errors.NoUpstream("no upstream of the service may serve")
+        return min(usable, key=self._in_flight)
+
+    def _in_flight(self, upstream: ids.UpstreamId) -> int:
+        return sum(
+            1
+            for one in self.exchanges_by_id.values()
+            if one.admitted.upstream == upstream
+        )
+
+    def _start(
+        self,
+        event: dispatch.RequestArrived | dispatch.ForwardArrived,
+        admitted: messages.Admitted,
+        forwarded: bool,
+        now: ids.Instant,
+    ) -> Effects:
+        leader = self.view.leaders_by_upstream.get(admitted.upstream)
+        if leader is None:
+            raise errors.NoOwner("upstream has no leader")
+        exchange = Exchange(
+            head=event.head, admitted=admitted, forwarded=forwarded
+        )
+        leads = leader.instance == self._instance
+        if not leads and forwarded:
+            raise errors.WrongLeader(
+                "another instance leads", peer=leader.instance
+            )
+        exchange.sent = True
+        if not leads:
+            self.exchanges_by_id[event.exchange] = exchange
+            return [
+                dispatch.Forward(
+                    exchange=event.exchange,
+                    instance=leader.instance,
+                    admitted=admitted,
+                )
+            ]
+        if now >= self.lease_until:
+            raise errors.WrongLeader("the lease of this instance is over")
+        effect = dispatch.SendUpstream(
+            exchange=event.exchange,
+            admitted=admitted,
+            term=leader.term,
+            epoch=self._epoch(admitted),
+        )
+        self.exchanges_by_id[event.exchange] = exchange
+        return [effect]
+
+    def _epoch(self, admitted: messages.Admitted) -> ids.Epoch:
+        if admitted.shard < 0:
+            return ids.Epoch(0)
+        found = self.view.routes_by_service.get(admitted.service)
+        owner = None
+        if found is not None:
+            owner = found.owners_by_shard.get(admitted.shard)
+        if owner is None or owner.upstream != admitted.upstream:
+            raise errors.WrongLeader("the shard has another owner")
+        return owner.epoch
--- /dev/null
+++ b/dragonflyshelf/core/errors.py
@@ -0,0 +1,174 @@
+"""Errors with codes; each carries the step and the peer of its origin.
+
+The registry ``ERRORS_BY_CODE`` is filled by ``error_code`` and is the
+source of the table of codes in the operators' page.
+"""
+
+from collections import abc
+from typing import ClassVar, TypeVar
+
+from dragonflyshelf.core import states
+
+E = TypeVar("E", bound="type[RouterError]")
+
+ERRORS_BY_CODE: "dict[str, type[RouterError]]" = {}
+
+
+def error_code(
+    code: str, status: int, step: states.Step
+) -> "abc.Callable[[E], E]":
+    """Return a decorator that registers an error class under a code.
+
+    The status is the HTTP status of an answer that reports the error.
+    """
+
+    def decorate(cls: E) -> E:
+        if code in ERRORS_BY_CODE:
+            raise ValueError(f"error code {code} is taken")
+        cls.code = code
+        cls.status = status
+        cls.default_step = step
+        ERRORS_BY_CODE[code] = cls
+        return cls
+
+    return decorate
+
+
+class RouterError(Exception):
+    """Base of all errors of the router."""
+
+    code: ClassVar[str] = "DS000"
+    status: ClassVar[int] = 500
+    default_step: ClassVar[states.Step] = states.Step.DISPATCH
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        step: states.Step | None = None,
+        peer: str = "",
+        outcome: states.Outcome = states.Outcome.NOT_RUN,
+        retry_after: float = 0.0,
+    ) -> None:
+        """Create an error; ``retry_after`` is in seconds, 0 for none."""
+        super().__init__(message)
+        self.message = message
+        self.step = step or self.default_step
+        self.peer = peer
+        self.outcome = outcome
+        self.retry_after = retry_after
+
+    def __str__(self) -> str:
+        """Return code, message, step and peer on one line."""
+        peer = f" peer={self.peer}" if self.peer else ""
+        return f"{self.code} {self.message} (step={self.step.value}{peer})"
+
+
+@error_code("DS001", 500, states.Step.INVARIANT)
+class InvariantViolated(RouterError):
+    """A property that must always hold does not."""
+
+
+@error_code("DS002", 500, states.Step.SETTINGS)
+class DuplicateRegistration(RouterError):
+    """Two implementations were registered under one key."""
+
+
+@error_code("DS003", 500, states.Step.SETTINGS)
+class NotRegistered(RouterError):
+    """Nothing is registered under the key."""
+
+
+@error_code("DS004", 503, states.Step.ADMISSION)
+class InboxFull(RouterError):
+    """The inbox of a task has reached its bound."""
+
+
+@error_code("DS100", 400, states.Step.PARSE)
+class BadRequest(RouterError):
+    """The request is not valid HTTP/1.1 or lacks a needed part."""
+
+
+@error_code("DS101", 401, states.Step.AUTHENTICATION)
+class CallerKeyRefused(RouterError):
+    """The caller key is missing, unknown or withdrawn."""
+
+
+@error_code("DS102", 404, states.Step.ROUTE)
+class NoSuchService(RouterError):
+    """No service has the name in the path."""
+
+
+@error_code("DS103", 429, states.Step.LIMIT)
+class RateExceeded(RouterError):
+    """The workspace is over its rate and burst."""
+
+
+@error_code("DS104", 503, states.Step.ROUTE)
+class NoOwner(RouterError):
+    """The shard of the key has no owner that may serve now."""
+
+
+@error_code("DS105", 503, states.Step.DISPATCH)
+class NoUpstream(RouterError):
+    """No upstream of the service may take the request now."""
+
+
+@error_code("DS106", 503, states.Step.ADMISSION)
+class Overloaded(RouterError):
+    """The request was shed before it was sent anywhere."""
+
+
+@error_code("DS107", 504, states.Step.DISPATCH)
+class DeadlineExceeded(RouterError):
+    """The deadline of the request passed."""
+
+
+@error_code("DS108", 502, states.Step.RECEIVE)
+class UpstreamFailed(RouterError):
+    """The upstream or the way to it failed after bytes were sent."""
+
+
+@error_code("DS109", 502, states.Step.CONNECT)
+class UpstreamUnreachable(RouterError):
+    """No connection to the upstream could be opened."""
+
+
+@error_code("DS110", 503, states.Step.SHUTDOWN)
+class ShuttingDown(RouterError):
+    """The instance is shutting down and takes no new work."""
+
+
+@error_code("DS111", 503, states.Step.FORWARD)
+class WrongLeader(RouterError):
+    """This instance does not lead the upstream of the key."""
+
+
+@error_code("DS112", 413, states.Step.PARSE)
+class BodyTooLarge(RouterError):
+    """The body is larger than the bound."""
+
+
+@error_code("DS113", 503, states.Step.FORWARD)
+class PeerUnreachable(RouterError):
+    """No link to the other instance is open."""
+
+
+@error_code("DS200", 503, states.Step.PLATFORM)
+class PlatformUnavailable(RouterError):
+    """The platform did not answer or the answer was lost."""
+
+
+@error_code("DS201", 409, states.Step.PLATFORM)
+class VersionConflict(RouterError):
+    """The object has another version than the update expected."""
+
+
+@error_code("DS202", 410, states.Step.PLATFORM)
+class WatchLost(RouterError):
+    """The watch lost its place; the objects must be listed again."""
+
+
+@error_code("DS300", 400, states.Step.SETTINGS)
+class BadSettings(RouterError):
+    """The settings file has mistakes."""
--- /dev/null
+++ b/dragonflyshelf/core/ids.py
@@ -0,0 +1,63 @@
+"""Identifiers and scalar quantities that are passed between parts."""
+
+from typing import NewType
+
+CallerKeyId = NewType("CallerKeyId", str)
+"""Public name of a caller key; the key itself is never kept."""
+
+DataCentreId = NewType("DataCentreId", str)
+"""Name of a data centre, as operators write it."""
+
+Epoch = NewType("Epoch", int)
+"""Fencing token of a shard; it only grows."""
+
+ExchangeId = NewType("ExchangeId", int)
+"""Number of one request within one process."""
+
+Incarnation = NewType("Incarnation", int)
+"""Number of one start of an instance."""
+
+Instant = NewType("Instant", float)
+"""Reading of the monotonic clock of this process, in seconds."""
+
+InstanceId = NewType("InstanceId", str)
+"""Name of an instance."""
+
+KeyDigest = NewType("KeyDigest", str)
+"""Hexadecimal SHA-256 digest of a caller key."""
+
+ObjectName = NewType("ObjectName", str)
+"""Name of a platform object within its kind."""
+
+OperatorId = NewType("OperatorId", str)
+"""Name of an operator, as the settings give it."""
+
+RequestId = NewType("RequestId", str)
+"""Identifier of a request over all processes."""
+
+ServiceName = NewType("ServiceName", str)
+"""Name of a service."""
+
+ShardId = NewType("ShardId", int)
+"""Number of a shard within its service, from 0."""
+
+StartId = NewType("StartId", str)
+"""Identifier that an upstream draws at each start."""
+
+StreamId = NewType("StreamId", int)
+"""Number of one request on one peer link."""
+
+Term = NewType("Term", int)
+"""Number of a leadership over one upstream; it only grows."""
+
+UpstreamId = NewType("UpstreamId", str)
+"""Name of an upstream."""
+
+Version = NewType("Version", int)
+"""Version of a platform object; 0 means that it does not exist."""
+
+WorkspaceId = NewType("WorkspaceId", str)
+"""Name of a workspace."""
+
+WriteId = NewType("WriteId", str)
+"""Identifier of one conditional update, kept with the object."""
--- /dev/null
+++ b/dragonflyshelf/core/language/__init__.py
@@ -0,0 +1,1 @@
+"""The query and command language."""
--- /dev/null
+++ b/dragonflyshelf/core/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which instances are alive and entitled to lead."""
--- /dev/null
+++ b/dragonflyshelf/core/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Which upstream owns a shard and which instance leads it."""
--- /dev/null
+++ b/dragonflyshelf/core/ownership/objects.py
@@ -0,0 +1,39 @@
+"""Values of the assignment segments."""
+
+import dataclasses
+
+from dragonflyshelf.core import ids
+from dragonflyshelf.core import states
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Leadership:
+    """The instance that alone sends to an upstream."""
+
+    upstream: ids.UpstreamId
+    instance: ids.InstanceId
+    incarnation: ids.Incarnation
+    term: ids.Term
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Assignment:
+    """The owner of a shard; ``next_upstream`` while it is moved."""
+
+    shard: ids.ShardId
+    upstream: ids.UpstreamId
+    epoch: ids.Epoch
+    state: states.ShardState = states.ShardState.OWNED
+    next_upstream: ids.UpstreamId = ids.UpstreamId("")
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Segment:
+    """Leaders and shard owners of one service.
+
+    ``leaders`` is sorted by upstream and ``assignments`` by shard.
+    """
+
+    service: ids.ServiceName
+    leaders: tuple[Leadership, ...] = ()
+    assignments: tuple[Assignment, ...] = ()
--- /dev/null
+++ b/dragonflyshelf/core/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between instances."""
--- /dev/null
+++ b/dragonflyshelf/core/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between core parts and the platform."""
--- /dev/null
+++ b/dragonflyshelf/core/settings.py
@@ -0,0 +1,162 @@
+"""Settings of one process, one frozen object for each INI section.
+
+Fields annotated with ``Range`` are checked against it when the file is
+read. Times are in seconds and sizes in bytes unless a name says more.
+"""
+
+import dataclasses
+import enum
+from typing import Annotated
+
+from dragonflyshelf.core import ids
+from dragonflyshelf.core import ranges
+
+KIB = 1024
+MIB = 1024 * KIB
+PORT = ranges.Range(minimum=0, maximum=65535)
+SECONDS = ranges.Range(minimum=0.001, maximum=86400, unit="s")
+
+
+class LogLevel(enum.Enum):
+    """Least severe level that is logged."""
+
+    DEBUG = "debug"
+    ERROR = "error"
+    INFO = "info"
+    WARNING = "warning"
+
+
+class PlatformKind(enum.Enum):
+    """Way to reach the platform's object API."""
+
+    HTTP = "http"
+    MEMORY = "memory"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class InstanceSettings:
+    """Section ``instance``: who this process is."""
+
+    name: ids.InstanceId
+    data_centre: ids.DataCentreId
+    region: str = "local"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ListenSettings:
+    """Section ``listen``: addresses that this process binds."""
+
+    host: str = "127.0.0.1"
+    caller_port: Annotated[int, PORT] = 8080
+    private_port: Annotated[int, PORT] = 0
+    peer_port: Annotated[int, PORT] = 8081
+    operator_port: Annotated[int, PORT] = 8082
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PlatformSettings:
+    """Section ``platform``: how the object API is reached."""
+
+    kind: PlatformKind = PlatformKind.MEMORY
+    host: str = "127.0.0.1"
+    port: Annotated[int, PORT] = 8090
+    call_timeout: Annotated[float, SECONDS] = 1.0
+    watch_timeout: Annotated[float, SECONDS] = 20.0
+    calls_per_second: Annotated[
+        float, ranges.Range(minimum=0.1, maximum=10000)
+    ] = 50.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class MembershipSettings:
+    """Section ``membership``: leases and heartbeats."""
+
+    lease: Annotated[float, SECONDS] = 1.5
+    renew_interval: Annotated[float, SECONDS] = 0.4
+    heartbeat_interval: Annotated[float, SECONDS] = 0.25
+    clock_rate_margin: Annotated[
+        float, ranges.Range(minimum=0, maximum=0.2)
+    ] = 0.01
+    promise: Annotated[float, SECONDS] = 300.0
+    stagger: Annotated[float, SECONDS] = 0.2
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class OwnershipSettings:
+    """Section ``ownership``: shards, grants and moves."""
+
+    shards: Annotated[int, ranges.Range(minimum=1, maximum=16384)] = 128
+    grant_ttl: Annotated[float, SECONDS] = 1.0
+    grant_interval: Annotated[float, SECONDS] = 0.3
+    churn_per_minute: Annotated[
+        float, ranges.Range(minimum=0.001, maximum=1)
+    ] = 0.2
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RequestSettings:
+    """Section ``requests``: bounds on requests and connections."""
+
+    deadline: Annotated[float, SECONDS] = 10.0
+    head_bytes: Annotated[
+        int, ranges.Range(minimum=1024, maximum=MIB, unit="B")
+    ] = (32 * KIB)
+    body_bytes: Annotated[
+        int, ranges.Range(minimum=0, maximum=1024 * MIB, unit="B")
+    ] = (16 * MIB)
+    replay_bytes: Annotated[
+        int, ranges.Range(minimum=0, maximum=16 * MIB, unit="B")
+    ] = (64 * KIB)
+    window_bytes: Annotated[
+        int, ranges.Range(minimum=KIB, maximum=16 * MIB, unit="B")
+    ] = (256 * KIB)
+    connections: Annotated[int, ranges.Range(minimum=1, maximum=1000000)] = (
+        10000
+    )
+    idle_timeout: Annotated[float, SECONDS] = 60.0
+    read_timeout: Annotated[float, SECONDS] = 10.0
+    inbox_messages: Annotated[
+        int, ranges.Range(minimum=16, maximum=10000000)
+    ] = 100000
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class UpstreamSettings:
+    """Section ``upstreams``: connections to upstreams."""
+
+    connections: Annotated[int, ranges.Range(minimum=1, maximum=10000)] = 110
+    slots: Annotated[int, ranges.Range(minimum=1, maximum=10000)] = 6
+    connect_timeout: Annotated[float, SECONDS] = 0.5
+    idle_timeout: Annotated[float, SECONDS] = 30.0
+    silence_timeout: Annotated[float, SECONDS] = 5.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class LogSettings:
+    """Section ``log``: what is logged."""
+
+    level: LogLevel = LogLevel.INFO
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ShutdownSettings:
+    """Section ``shutdown``: graceful end of the process."""
+
+    deadline: Annotated[float, SECONDS] = 20.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Settings:
+    """All settings of one process."""
+
+    instance: InstanceSettings
+    listen: ListenSettings = ListenSettings()
+    log: LogSettings = LogSettings()
+    membership: MembershipSettings = MembershipSettings()
+    ownership: OwnershipSettings = OwnershipSettings()
+    platform: PlatformSettings = PlatformSettings()
+    requests: RequestSettings = RequestSettings()
+    shutdown: ShutdownSettings = ShutdownSettings()
+    upstreams: UpstreamSettings = UpstreamSettings()
+    operators: dict[str, str] = dataclasses.field(default_factory=dict)
+    """Section ``operators``: name to ``role:digest`` of the token."""
--- /dev/null
+++ b/dragonflyshelf/core/timeline/__init__.py
@@ -0,0 +1,1 @@
+"""Typed events and their causal order."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests; the folders mirror the package."""
--- /dev/null
+++ b/tests/test_layout.py
@@ -0,0 +1,89 @@
+"""Tests of the layout that the whole package keeps to."""
+
+import ast
+import importlib.util
+import pathlib
+
+import pytest
+
+PACKAGE = pathlib.Path(__file__).parent.parent / "dragonflyshelf"
+FORBIDDEN_IN_CORE = frozenset(
+    {
+        "absl",
+        "asyncio",
+        "datetime",
+        "logging",
+        "multiprocessing",
+        "os",
+        "pathlib",
+        "random",
+        "secrets",
+        "selectors",
+        "signal",
+        "socket",
+        "ssl",
+        "subprocess",
+        "threading",
+        "time",
+        "uuid",
+    }
+)
+FORBIDDEN_PACKAGES_IN_CORE = (
+    "dragonflyshelf.cli",
+    "dragonflyshelf.codec",
+    "dragonflyshelf.runtime",
+)
+FORBIDDEN_EVERYWHERE = frozenset({"multiprocessing", "subprocess"})
+
+
+def imported(path: pathlib.Path) -> set[str]:
+    """Return the full names that a module imports."""
+    found = set()
+    for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+        if isinstance(node, ast.Import):
+            found.update(one.name for one in node.names)
+        elif isinstance(node, ast.ImportFrom):
+            found.update(f"{node.module}.{one.name}" for one in node.names)
+    return found
+
+
+def modules(folder: pathlib.Path) -> list[pathlib.Path]:
+    """Return all modules of a folder."""
+    return sorted(folder.rglob("*.py"))
+
+
+def label(path: pathlib.Path) -> str:
+    """Return a short name for a test's id."""
+    return str(path.relative_to(PACKAGE))
+
+
+class TestCoreIsPure:
+    """The core has no input or output, clock or randomness."""
+
+    @pytest.mark.parametrize("path", modules(PACKAGE / "core"), ids=label)
+    def test_imports(self, path: pathlib.Path) -> None:
+        """A core module imports only what is pure."""
+        for name in imported(path):
+            assert name.split(".")[0] not in FORBIDDEN_IN_CORE, name
+            assert not name.startswith(FORBIDDEN_PACKAGES_IN_CORE), name
+
+
+class TestNoChildProcesses:
+    """The program starts no other process."""
+
+    @pytest.mark.parametrize("path", modules(PACKAGE), ids=label)
+    def test_imports(self, path: pathlib.Path) -> None:
+        """No module imports a way to start a process."""
+        for name in imported(path):
+            assert name.split(".")[0] not in FORBIDDEN_EVERYWHERE, name
+
+
+class TestModuleImports:
+    """Only modules are imported from this package."""
+
+    @pytest.mark.parametrize("path", modules(PACKAGE), ids=label)
+    def test_imports(self, path: pathlib.Path) -> None:
+        """Each import of the package's own names a module."""
+        for name in imported(path):
+            if name.startswith("dragonflyshelf."):
+                assert importlib.util.find_spec(name) is not None, name
