Build one path from caller to upstream and back

Cause: nothing served a request yet. Eight processes now take requests over HTTP, check caller key and rate, forward over Cap'n Proto links to the leader of the shard's upstream, and send with a fence.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load generation and experiments."""
--- /dev/null
+++ b/bench/cluster.py
@@ -0,0 +1,209 @@
+"""Processes of one experiment: stand-ins and instances on loopback."""
+
+import asyncio
+from collections import abc
+import contextlib
+import dataclasses
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+
+from dragonflyshelf.runtime import http_client
+
+HOST = "127.0.0.1"
+READY_SECONDS = 20.0
+READY_POLL_SECONDS = 0.05
+STOP_SECONDS = 10.0
+STATUS_OK = 200
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class InstanceAddress:
+    """Ports of one instance."""
+
+    name: str
+    data_centre: str
+    caller_port: int
+    operator_port: int
+    peer_port: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class UpstreamAddress:
+    """Address of one upstream stand-in."""
+
+    name: str
+    service: str
+    data_centre: str
+    port: int
+    fenced: bool
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ClusterDescription:
+    """What an experiment runs."""
+
+    data_centres: tuple[str, ...] = ("a", "b", "c")
+    instances: int = 8
+    services: tuple[str, ...] = ("letters",)
+    upstreams_per_service: int = 6
+    upstream_delay: float = 0.0
+    extra_settings: str = ""
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that are free now."""
+    with contextlib.ExitStack() as stack:
+        found = []
+        for _ in range(count):
+            bound = stack.enter_context(socket.socket())
+            bound.bind((HOST, 0))
+            found.append(bound.getsockname()[1])
+        return found
+
+
+class Cluster:
+    """Running processes by name."""
+
+    def __init__(
+        self, description: ClusterDescription, folder: pathlib.Path
+    ) -> None:
+        """Draw ports; nothing runs yet."""
+        self.description = description
+        self.folder = folder
+        self.processes_by_name: dict[str, subprocess.Popen[bytes]] = {}
+        self.platform_port = free_ports(1)[0]
+        self.instances = self._draw_instances()
+        self.upstreams = self._draw_upstreams()
+
+    def _draw_instances(self) -> tuple[InstanceAddress, ...]:
+        count = self.description.instances
+        ports = free_ports(3 * count)
+        centres = self.description.data_centres
+        return tuple(
+            InstanceAddress(
+                name=f"instance-{number}",
+                data_centre=centres[number % len(centres)],
+                caller_port=ports[3 * number],
+                operator_port=ports[3 * number + 1],
+                peer_port=ports[3 * number + 2],
+            )
+            for number in range(count)
+        )
+
+    def _draw_upstreams(self) -> tuple[UpstreamAddress, ...]:
+        per_service = self.description.upstreams_per_service
+        services = self.description.services
+        ports = iter(free_ports(per_service * len(services)))
+        centres = self.description.data_centres
+        return tuple(
+            UpstreamAddress(
+                name=f"{service}-{number}",
+                service=service,
+                data_centre=centres[number % len(centres)],
+                port=next(ports),
+                fenced=True,
+            )
+            for service in services
+            for number in range(per_service)
+        )
+
+    def start_platform(self) -> None:
+        """Start the platform stand-in."""
+        self._start(
+            "platform",
+            ["stand_ins.platform", "--port", str(self.platform_port)],
+        )
+
+    def start_upstream(self, upstream: UpstreamAddress) -> None:
+        """Start one upstream stand-in."""
+        fenced = "--fenced" if upstream.fenced else "--no-fenced"
+        self._start(
+            upstream.name,
+            [
+                "stand_ins.upstream",
+                *("--name", upstream.name),
+                *("--port", str(upstream.port)),
+                *("--delay", str(self.description.upstream_delay)),
+                fenced,
+            ],
+        )
+
+    def start_instance(self, instance: InstanceAddress) -> None:
+        """Write the settings of an instance and start it."""
+        path = self.folder / f"{instance.name}.ini"
+        path.write_text(self._settings(instance), encoding="utf-8")
+        self._start(instance.name, ["dragonflyshelf", "serve", str(path)])
+
+    def start_all(self) -> None:
+        """Start the stand-ins and all instances."""
+        self.start_platform()
+        for upstream in self.upstreams:
+            self.start_upstream(upstream)
+        for instance in self.instances:
+            self.start_instance(instance)
+
+    async def async_wait_ready(self) -> None:
+        """Wait until every instance says that it is ready."""
+        async with asyncio.timeout(READY_SECONDS):
+            for instance in self.instances:
+                while not await async_is_ready(instance.operator_port):
+                    await asyncio.sleep(READY_POLL_SECONDS)
+
+    def stop_all(self) -> None:
+        """End every process that this cluster has started."""
+        for process in self.processes_by_name.values():
+            process.send_signal(signal.SIGTERM)
+        for process in self.processes_by_name.values():
+            try:
+                process.wait(STOP_SECONDS)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+
+    def _settings(self, instance: InstanceAddress) -> str:
+        return (
+            "[instance]\n"
+            f"name = {instance.name}\n"
+            f"data_centre = {instance.data_centre}\n"
+            "[listen]\n"
+            f"caller_port = {instance.caller_port}\n"
+            f"peer_port = {instance.peer_port}\n"
+            f"operator_port = {instance.operator_port}\n"
+            "[platform]\n"
+            "kind = http\n"
+            f"port = {self.platform_port}\n"
+            f"{self.description.extra_settings}\n"
+        )
+
+    def _start(self, name: str, arguments: list[str]) -> None:
+        log = (self.folder / f"{name}.log").open("ab")
+        with log:
+            self.processes_by_name[name] = subprocess.Popen(
+                [sys.executable, "-m", *arguments], stdout=log, stderr=log
+            )
+
+
+async def async_is_ready(port: int) -> bool:
+    """Ask an instance's operators' listener whether it is ready."""
+    async with http_client.async_open(HOST, port) as client:
+        try:
+            answer = await client.async_call("GET", "/readyz")
+        except OSError:
+            return False
+        return answer.status == STATUS_OK
+
+
+@contextlib.contextmanager
+def running(description: ClusterDescription) -> abc.Iterator[Cluster]:
+    """Run a cluster for the length of a ``with`` block."""
+    with tempfile.TemporaryDirectory() as folder:
+        cluster = Cluster(description, pathlib.Path(folder))
+        try:
+            cluster.start_all()
+            yield cluster
+        finally:
+            cluster.stop_all()
--- /dev/null
+++ b/dragonflyshelf/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the program."""
--- /dev/null
+++ b/dragonflyshelf/cli/main.py
@@ -0,0 +1,62 @@
+"""The ``dragonflyshelf`` command."""
+
+import asyncio
+import pathlib
+import sys
+
+import defopt
+
+import dragonflyshelf
+from dragonflyshelf.codec import ini
+from dragonflyshelf.core import errors
+from dragonflyshelf.core import settings
+from dragonflyshelf.runtime import logs
+from dragonflyshelf.runtime import server
+
+EXIT_FAILURE = 1
+EXIT_USAGE = 2
+
+
+def read_settings(path: pathlib.Path) -> settings.Settings:
+    """Return the settings of a file, or exit with its mistakes."""
+    try:
+        return ini.parse(str(path), path.read_text(encoding="utf-8"))
+    except ini.BadSettingsFile as error:
+        for mistake in error.mistakes:
+            print(f"{error.code} {mistake}", file=sys.stderr)
+    except (OSError, UnicodeDecodeError) as error:
+        print(f"{errors.BadSettings.code} {error}", file=sys.stderr)
+    raise SystemExit(EXIT_USAGE)
+
+
+def check(path: pathlib.Path) -> None:
+    """Check a settings file and name every mistake.
+
+    :param path: the INI file
+    """
+    read_settings(path)
+    print(f"{path}: ok")
+
+
+def serve(path: pathlib.Path) -> None:
+    """Run one instance until a signal ends it.
+
+    :param path: the INI file
+    """
+    config = read_settings(path)
+    logs.configure(config)
+    asyncio.run(server.async_main(config))
+
+
+def version() -> None:
+    """Print the version."""
+    print(dragonflyshelf.__version__)
+
+
+def main() -> None:
+    """Run the command line."""
+    try:
+        defopt.run([check, serve, version])
+    except errors.RouterError as error:
+        print(error, file=sys.stderr)
+        raise SystemExit(EXIT_FAILURE) from error
--- /dev/null
+++ b/dragonflyshelf/codec/__init__.py
@@ -0,0 +1,1 @@
+"""Encoding and decoding of messages; no decisions."""
--- /dev/null
+++ b/dragonflyshelf/codec/peer.capnp
@@ -0,0 +1,92 @@
+@0xd1a6f15e1f0a7c55;
+
+# Frames between instances. Field names are the camel case of the
+# dataclass fields that codec/peer.py maps them to.
+
+struct Header {
+  name @0 :Data;
+  value @1 :Data;
+}
+
+struct Hello {
+  instance @0 :Text;
+  incarnation @1 :UInt64;
+}
+
+struct Admitted {
+  service @0 :Text;
+  workspace @1 :Text;
+  priority @2 :Text;
+  idempotent @3 :Bool;
+  shard @4 :Int32;
+  upstream @5 :Text;
+}
+
+struct Open {
+  exchange @0 :UInt64;
+  requestId @1 :Text;
+  method @2 :Data;
+  target @3 :Data;
+  headers @4 :List(Header);
+  remainingMs @5 :UInt32;
+  hasBody @6 :Bool;
+  bodyLength @7 :Int64;
+  admitted @8 :Admitted;
+}
+
+struct Chunk {
+  exchange @0 :UInt64;
+  data @1 :Data;
+}
+
+struct Exchange {
+  exchange @0 :UInt64;
+}
+
+struct AnswerHead {
+  exchange @0 :UInt64;
+  status @1 :UInt16;
+  reason @2 :Data;
+  headers @3 :List(Header);
+}
+
+struct Error {
+  code @0 :Text;
+  message @1 :Text;
+  step @2 :Text;
+  peer @3 :Text;
+  outcome @4 :Text;
+  retryAfter @5 :Float64;
+}
+
+struct Failed {
+  exchange @0 :UInt64;
+  error @1 :Error;
+}
+
+struct Credit {
+  exchange @0 :UInt64;
+  size @1 :UInt32;
+}
+
+struct Heartbeat {
+  instance @0 :Text;
+  incarnation @1 :UInt64;
+  version @2 :UInt64;
+}
+
+struct Frame {
+  union {
+    hello @0 :Hello;
+    open @1 :Open;
+    bodyChunk @2 :Chunk;
+    bodyEnd @3 :Exchange;
+    cancel @4 :Exchange;
+    answerHead @5 :AnswerHead;
+    answerChunk @6 :Chunk;
+    answerEnd @7 :Exchange;
+    answerFailed @8 :Failed;
+    credit @9 :Credit;
+    heartbeat @10 :Heartbeat;
+  }
+}
--- /dev/null
+++ b/dragonflyshelf/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks that own sockets, timers and files round the core."""
--- /dev/null
+++ b/dragonflyshelf/runtime/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Connections of callers."""
--- /dev/null
+++ b/dragonflyshelf/runtime/control/__init__.py
@@ -0,0 +1,1 @@
+"""The task that owns membership, ownership and configuration."""
--- /dev/null
+++ b/dragonflyshelf/runtime/grants/__init__.py
@@ -0,0 +1,1 @@
+"""Grants of this instance to the upstreams that it leads."""
--- /dev/null
+++ b/dragonflyshelf/runtime/http_client.py
@@ -0,0 +1,131 @@
+"""One HTTP/1.1 client connection for calls that wait for an answer."""
+
+import asyncio
+from collections import abc
+import contextlib
+import dataclasses
+
+import h11
+
+READ_BYTES = 65536
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class HttpAnswer:
+    """A whole answer."""
+
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+
+
+class HttpClient:
+    """A keep-alive connection that runs one call at a time.
+
+    Errors of the socket are raised as ``OSError`` and broken answers as
+    ``h11.RemoteProtocolError``; the owner bounds the time of a call.
+    """
+
+    def __init__(self, host: str, port: int) -> None:
+        """Create a client that connects at its first call."""
+        self._host = host
+        self._port = port
+        self._reader: asyncio.StreamReader | None = None
+        self._writer: asyncio.StreamWriter | None = None
+        self._http = h11.Connection(h11.CLIENT)
+
+    async def async_call(
+        self,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        headers: tuple[tuple[str, str], ...] = (),
+    ) -> HttpAnswer:
+        """Send a request and return its whole answer."""
+        try:
+            await self._async_connect()
+            self._send(method, target, body, headers)
+            answer = await self._async_receive()
+        except BaseException:
+            self.close()
+            raise
+        self._recycle()
+        return answer
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._writer is not None:
+            self._writer.close()
+        self._reader = None
+        self._writer = None
+
+    async def _async_connect(self) -> None:
+        if self._writer is not None:
+            return
+        self._http = h11.Connection(h11.CLIENT)
+        self._reader, self._writer = await asyncio.open_connection(
+            self._host, self._port
+        )
+
+    def _send(
+        self,
+        method: str,
+        target: str,
+        body: bytes,
+        headers: tuple[tuple[str, str], ...],
+    ) -> None:
+        assert self._writer is not None
+        sent_headers = [
+            ("host", f"{self._host}:{self._port}"),
+            ("content-length", str(len(body))),
+            *headers,
+        ]
+        request = h11.Request(
+            method=method, target=target, headers=sent_headers
+        )
+        data = self._http.send(request) or b""
+        if body:
+            data += self._http.send(h11.Data(data=body)) or b""
+        data += self._http.send(h11.EndOfMessage()) or b""
+        self._writer.write(data)
+
+    async def _async_receive(self) -> HttpAnswer:
+        assert self._reader is not None
+        response: h11.Response | None = None
+        parts: list[bytes] = []
+        while True:
+            event = self._http.next_event()
+            if event is h11.NEED_DATA:
+                data = await self._reader.read(READ_BYTES)
+                self._http.receive_data(data)
+            elif isinstance(event, h11.Response):
+                response = event
+            elif isinstance(event, h11.Data):
+                parts.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                break
+            elif isinstance(event, h11.ConnectionClosed):
+                raise ConnectionResetError("closed before the answer")
+        assert response is not None
+        return HttpAnswer(
+            status=response.status_code,
+            headers=tuple(response.headers),
+            body=b"".join(parts),
+        )
+
+    def _recycle(self) -> None:
+        done = self._http.our_state is h11.DONE
+        if done and self._http.their_state is h11.DONE:
+            self._http.start_next_cycle()
+            return
+        self.close()
+
+
+@contextlib.asynccontextmanager
+async def async_open(host: str, port: int) -> abc.AsyncIterator[HttpClient]:
+    """Own a client for the length of a ``with`` block."""
+    client = HttpClient(host, port)
+    try:
+        yield client
+    finally:
+        client.close()
--- /dev/null
+++ b/dragonflyshelf/runtime/logs.py
@@ -0,0 +1,58 @@
+"""Logs of ``absl.logging`` as JSON lines."""
+
+import datetime
+import json
+import logging as standard_logging
+
+from absl import flags
+from absl import logging
+
+import dragonflyshelf
+
+from dragonflyshelf.core import settings
+
+LEVELS = {
+    settings.LogLevel.DEBUG: logging.DEBUG,
+    settings.LogLevel.ERROR: logging.ERROR,
+    settings.LogLevel.INFO: logging.INFO,
+    settings.LogLevel.WARNING: logging.WARNING,
+}
+
+
+class JsonFormatter(standard_logging.Formatter):
+    """Formats a record as one JSON object."""
+
+    def __init__(self, config: settings.Settings) -> None:
+        """Create the formatter of one instance."""
+        super().__init__()
+        self._instance = config.instance.name
+        self._data_centre = config.instance.data_centre
+
+    def format(self, record: standard_logging.LogRecord) -> str:
+        """Return one line without its end."""
+        time = datetime.datetime.fromtimestamp(
+            record.created, datetime.timezone.utc
+        )
+        line = {
+            "time": time.isoformat(timespec="milliseconds"),
+            "level": record.levelname.lower(),
+            "instance": self._instance,
+            "data_centre": self._data_centre,
+            "event": record.getMessage(),
+        }
+        for name in ("request_id", "peer", "step"):
+            value = getattr(record, name, None)
+            if value is not None:
+                line[name] = value
+        if record.exc_info:
+            line["traceback"] = self.formatException(record.exc_info)
+        return json.dumps(line)
+
+
+def configure(config: settings.Settings) -> None:
+    """Send all logs to standard error as JSON lines."""
+    flags.FLAGS([dragonflyshelf.__name__])
+    logging.use_absl_handler()
+    logging.set_verbosity(LEVELS[config.log.level])
+    logging.set_stderrthreshold(LEVELS[config.log.level])
+    logging.get_absl_handler().setFormatter(JsonFormatter(config))
--- /dev/null
+++ b/dragonflyshelf/runtime/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' listener."""
--- /dev/null
+++ b/dragonflyshelf/runtime/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Links between instances."""
--- /dev/null
+++ b/dragonflyshelf/runtime/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform's object API."""
--- /dev/null
+++ b/dragonflyshelf/runtime/router/__init__.py
@@ -0,0 +1,1 @@
+"""The task that decides about requests."""
--- /dev/null
+++ b/dragonflyshelf/runtime/router/coordinator.py
@@ -0,0 +1,215 @@
+"""Task that owns the decisions about requests."""
+
+from collections import abc
+import dataclasses
+import itertools
+
+from dragonflyshelf.core.configuration import view
+from dragonflyshelf.core.dispatch import coordinator
+from dragonflyshelf.core.dispatch import messages as dispatch
+from dragonflyshelf.core import errors
+from dragonflyshelf.core import ids
+from dragonflyshelf.core import messages
+from dragonflyshelf.core import registry
+from dragonflyshelf.core import settings
+from dragonflyshelf.runtime import inbox
+from dragonflyshelf.runtime import messages as runtime_messages
+from dragonflyshelf.runtime.peers import coordinator as peers
+from dragonflyshelf.runtime import task
+from dragonflyshelf.runtime.upstreams import pool
+
+Runner = abc.Callable[["RouterTask", object], None]
+
+EFFECTS: registry.Registry[type, Runner] = registry.Registry("router effects")
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ViewChanged:
+    """The control task has taken in new objects."""
+
+    view: view.ObjectView
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Running:
+    """Inboxes at both sides of an exchange."""
+
+    head: messages.RequestHead
+    origin: inbox.Inbox
+    target: inbox.Inbox | None = None
+
+
+class RouterTask(task.Task):
+    """Runs the dispatch core and carries out its effects."""
+
+    def __init__(
+        self, config: settings.Settings, incarnation: ids.Incarnation
+    ) -> None:
+        """Create the task; ``peers_inbox`` is set before it starts."""
+        super().__init__("router", config.requests.inbox_messages)
+        self._config = config
+        self._core = coordinator.DispatchCoordinator(config, incarnation)
+        self._running_by_exchange: dict[ids.ExchangeId, Running] = {}
+        self._pools_by_upstream: dict[
+            ids.UpstreamId, pool.UpstreamPoolTask
+        ] = {}
+        self._numbers = itertools.count(1)
+        self.peers_inbox: inbox.Inbox | None = None
+
+    def next_exchange(self) -> ids.ExchangeId:
+        """Return a number that no other exchange of the process has."""
+        return ids.ExchangeId(next(self._numbers))
+
+    @task.handles(runtime_messages.ArriveExchange)
+    def _on_arrive(self, message: runtime_messages.ArriveExchange) -> None:
+        self._running_by_exchange[message.exchange] = Running(
+            head=message.head, origin=message.origin
+        )
+        self._run(
+            dispatch.RequestArrived(
+                exchange=message.exchange, head=message.head
+            )
+        )
+
+    @task.handles(runtime_messages.ForwardedExchange)
+    def _on_forwarded(
+        self, message: runtime_messages.ForwardedExchange
+    ) -> None:
+        self._running_by_exchange[message.exchange] = Running(
+            head=message.head, origin=message.origin
+        )
+        self._run(
+            dispatch.ForwardArrived(
+                exchange=message.exchange,
+                head=message.head,
+                admitted=message.admitted,
+            )
+        )
+
+    @task.handles(runtime_messages.AttemptEnded)
+    def _on_attempt_ended(
+        self, message: runtime_messages.AttemptEnded
+    ) -> None:
+        self._run(
+            dispatch.AttemptFinished(
+                exchange=message.exchange,
+                upstream=message.upstream,
+                error=message.error,
+                answered=message.answered,
+                status=message.status,
+            )
+        )
+
+    @task.handles(runtime_messages.ExchangeEnded)
+    def _on_exchange_ended(
+        self, message: runtime_messages.ExchangeEnded
+    ) -> None:
+        self._run(
+            dispatch.ExchangeFinished(
+                exchange=message.exchange, cancelled=message.cancelled
+            )
+        )
+        self._running_by_exchange.pop(message.exchange, None)
+
+    @task.handles(ViewChanged)
+    def _on_view(self, message: ViewChanged) -> None:
+        self._core.on_view(message.view)
+        self._update_pools()
+
+    @task.handles(dispatch.LeaseChanged)
+    def _on_lease(self, message: dispatch.LeaseChanged) -> None:
+        self._run(message)
+
+    @property
+    def exchanges(self) -> int:
+        """Return the number of unfinished exchanges."""
+        return len(self._running_by_exchange)
+
+    def on_end(self) -> None:
+        """Stop the pools."""
+        for one in self._pools_by_upstream.values():
+            one.stop()
+            one.inbox.post(messages.Cancel(exchange=ids.ExchangeId(0)))
+
+    def _run(self, event: dispatch.Event) -> None:
+        for effect in self._core.handle(event, self.now):
+            EFFECTS.get(type(effect))(self, effect)
+
+    def _update_pools(self) -> None:
+        upstreams = self._core.view.upstreams_by_id
+        for name in list(self._pools_by_upstream):
+            if name not in upstreams:
+                removed = self._pools_by_upstream.pop(name)
+                removed.stop()
+                removed.inbox.post(messages.Cancel(exchange=ids.ExchangeId(0)))
+        for name, upstream in upstreams.items():
+            if name not in self._pools_by_upstream:
+                created = pool.UpstreamPoolTask(
+                    self._config, upstream, self.inbox
+                )
+                created.start()
+                self._pools_by_upstream[name] = created
+
+    @EFFECTS.register(dispatch.Refuse)
+    def _refuse(self, effect: dispatch.Refuse) -> None:
+        running = self._running_by_exchange.get(effect.exchange)
+        if running is None:
+            return
+        running.target = None
+        running.origin.post(
+            messages.AnswerFailed(exchange=effect.exchange, error=effect.error)
+        )
+
+    @EFFECTS.register(dispatch.Forward)
+    def _forward(self, effect: dispatch.Forward) -> None:
+        running = self._running_by_exchange.get(effect.exchange)
+        if running is None or self.peers_inbox is None:
+            return
+        attempt = runtime_messages.StartExchange(
+            exchange=effect.exchange,
+            head=running.head,
+            admitted=effect.admitted,
+            origin=running.origin,
+        )
+        running.target = self.peers_inbox
+        self.peers_inbox.post(
+            peers.ForwardToPeer(instance=effect.instance, attempt=attempt)
+        )
+
+    @EFFECTS.register(dispatch.SendUpstream)
+    def _send_upstream(self, effect: dispatch.SendUpstream) -> None:
+        running = self._running_by_exchange.get(effect.exchange)
+        if running is None:
+            return
+        found = self._pools_by_upstream.get(effect.admitted.upstream)
+        if found is None:
+            self._refuse(
+                dispatch.Refuse(
+                    exchange=effect.exchange,
+                    error=errors.NoUpstream("upstream is not known"),
+                )
+            )
+            return
+        fence = runtime_messages.Fence(
+            instance=self._config.instance.name,
+            term=effect.term,
+            shard=effect.admitted.shard,
+            epoch=effect.epoch,
+        )
+        running.target = found.inbox
+        found.inbox.post(
+            runtime_messages.StartExchange(
+                exchange=effect.exchange,
+                head=running.head,
+                admitted=effect.admitted,
+                origin=running.origin,
+                fence=fence,
+            )
+        )
+
+    @EFFECTS.register(dispatch.CancelAttempt)
+    def _cancel(self, effect: dispatch.CancelAttempt) -> None:
+        running = self._running_by_exchange.get(effect.exchange)
+        if running is None or running.target is None:
+            return
+        running.target.post(messages.Cancel(exchange=effect.exchange))
--- /dev/null
+++ b/dragonflyshelf/runtime/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to upstreams."""
--- /dev/null
+++ b/stand_ins/__init__.py
@@ -0,0 +1,1 @@
+"""Small programs that stand in for outside systems."""
