Fix the messages between ownership, dispatch and the time line

Cause: several parts are built next to each other and need the same messages: seals of shards that move, leaderships that are held, typed events, and control messages routed by type. Conclusion: a leader now sends only with a held leadership of the same term, and a sealed shard tells when it is quiet.

--- a/dragonflyshelf/core/dispatch/coordinator.py
+++ b/dragonflyshelf/core/dispatch/coordinator.py
@@ -5,6 +5,7 @@
 
 from dragonflyshelf.core.configuration import objects
 from dragonflyshelf.core.configuration import view
+from dragonflyshelf.core.dispatch import fences
 from dragonflyshelf.core.dispatch import messages as dispatch
 from dragonflyshelf.core.dispatch import routes
 from dragonflyshelf.core import errors
@@ -12,6 +13,7 @@
 from dragonflyshelf.core.limits import policies
 from dragonflyshelf.core.limits import static_share  # noqa: F401
 from dragonflyshelf.core import messages
+from dragonflyshelf.core.ownership import objects as ownership
 from dragonflyshelf.core import registry
 from dragonflyshelf.core import settings
 from dragonflyshelf.core import states
@@ -36,6 +38,7 @@
     admitted: messages.Admitted
     forwarded: bool
     sent: bool = False
+    fence: fences.ShardKey | None = None
 
 
 class DispatchCoordinator:
@@ -50,6 +53,10 @@
         self.view = view.RoutingView()
         self.limits = policies.LIMIT_POLICIES.get("static_share")()
         self.lease_until = ids.Instant(0.0)
+        self.fences = fences.ShardFences()
+        self.held_by_upstream: dict[
+            ids.UpstreamId, dispatch.HeldLeadership
+        ] = {}
         self.exchanges_by_id: dict[ids.ExchangeId, Exchange] = {}
 
     def handle(self, event: dispatch.Event, now: ids.Instant) -> Effects:
@@ -68,6 +75,26 @@
         self.lease_until = event.until
         return []
 
+    @HANDLERS.register(dispatch.LeadershipsHeld)
+    def _on_held(
+        self, event: dispatch.LeadershipsHeld, now: ids.Instant
+    ) -> Effects:
+        self.held_by_upstream = {one.upstream: one for one in event.held}
+        return []
+
+    @HANDLERS.register(dispatch.SealShard)
+    def _on_seal(self, event: dispatch.SealShard, now: ids.Instant) -> Effects:
+        if self.fences.seal(event.key):
+            return [dispatch.ShardQuiet(key=event.key)]
+        return []
+
+    @HANDLERS.register(dispatch.UnsealShard)
+    def _on_unseal(
+        self, event: dispatch.UnsealShard, now: ids.Instant
+    ) -> Effects:
+        self.fences.forget(event.key)
+        return []
+
     @HANDLERS.register(dispatch.RequestArrived)
     def _on_request(
         self, event: dispatch.RequestArrived, now: ids.Instant
@@ -94,10 +121,13 @@
         exchange = self.exchanges_by_id.get(event.exchange)
         if exchange is None:
             return []
-        exchange.sent = False
+        effects = self._end_attempt(exchange)
         if event.error is None or event.answered:
-            return []
-        return [dispatch.Refuse(exchange=event.exchange, error=event.error)]
+            return effects
+        return [
+            *effects,
+            dispatch.Refuse(exchange=event.exchange, error=event.error),
+        ]
 
     @HANDLERS.register(dispatch.ExchangeFinished)
     def _on_finished(
@@ -106,7 +136,17 @@
         exchange = self.exchanges_by_id.pop(event.exchange, None)
         if exchange is None or not exchange.sent:
             return []
-        return [dispatch.CancelAttempt(exchange=event.exchange)]
+        return [
+            dispatch.CancelAttempt(exchange=event.exchange),
+            *self._end_attempt(exchange),
+        ]
+
+    def _end_attempt(self, exchange: Exchange) -> Effects:
+        exchange.sent = False
+        key, exchange.fence = exchange.fence, None
+        if key is not None and self.fences.finish(key):
+            return [dispatch.ShardQuiet(key=key)]
+        return []
 
     def _admit(
         self, head: messages.RequestHead, now: ids.Instant
@@ -201,16 +241,33 @@
                     admitted=admitted,
                 )
             ]
+        self._check_leadership(leader, now)
+        epoch = self._epoch(admitted)
+        if admitted.shard >= 0:
+            exchange.fence = fences.ShardKey(
+                service=admitted.service, shard=admitted.shard, epoch=epoch
+            )
+            self.fences.start(exchange.fence)
+        self.exchanges_by_id[event.exchange] = exchange
+        return [
+            dispatch.SendUpstream(
+                exchange=event.exchange,
+                admitted=admitted,
+                term=leader.term,
+                epoch=epoch,
+            )
+        ]
+
+    def _check_leadership(
+        self, leader: ownership.Leadership, now: ids.Instant
+    ) -> None:
+        held = self.held_by_upstream.get(leader.upstream)
+        if held is None or held.term != leader.term:
+            raise errors.WrongLeader("the leadership is not held")
+        if now < held.not_before:
+            raise errors.WrongLeader("a former leader may still send")
         if now >= self.lease_until:
             raise errors.WrongLeader("the lease of this instance is over")
-        effect = dispatch.SendUpstream(
-            exchange=event.exchange,
-            admitted=admitted,
-            term=leader.term,
-            epoch=self._epoch(admitted),
-        )
-        self.exchanges_by_id[event.exchange] = exchange
-        return [effect]
 
     def _epoch(self, admitted: messages.Admitted) -> ids.Epoch:
         if admitted.shard < 0:
--- a/dragonflyshelf/core/dispatch/messages.py
+++ b/dragonflyshelf/core/dispatch/messages.py
@@ -2,9 +2,11 @@
 
 import dataclasses
 
+from dragonflyshelf.core.dispatch import fences
 from dragonflyshelf.core import errors
 from dragonflyshelf.core import ids
 from dragonflyshelf.core import messages
+from dragonflyshelf.core.timeline import events
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -50,6 +52,47 @@
     until: ids.Instant
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class HeldLeadership:
+    """A leadership that this instance may use from an instant on.
+
+    ``not_before`` lies in the future while a predecessor may still send
+    to an upstream that checks no fences.
+    """
+
+    upstream: ids.UpstreamId
+    term: ids.Term
+    not_before: ids.Instant
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LeadershipsHeld:
+    """Event: all leaderships that this instance may use now."""
+
+    held: tuple[HeldLeadership, ...]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class SealShard:
+    """Event: send no more to a shard, because it is being moved."""
+
+    key: fences.ShardKey
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class UnsealShard:
+    """Event: the epoch of a sealed shard is over."""
+
+    key: fences.ShardKey
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ShardQuiet:
+    """Effect: nothing is under way any more on a sealed shard."""
+
+    key: fences.ShardKey
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Refuse:
     """Effect: the origin gets this error."""
@@ -84,11 +127,21 @@
     exchange: ids.ExchangeId
 
 
-Effect = CancelAttempt | Forward | Refuse | SendUpstream
+Effect = (
+    CancelAttempt
+    | Forward
+    | Refuse
+    | SendUpstream
+    | ShardQuiet
+    | events.RecordEvent
+)
 Event = (
     AttemptFinished
     | ExchangeFinished
     | ForwardArrived
+    | LeadershipsHeld
     | LeaseChanged
     | RequestArrived
+    | SealShard
+    | UnsealShard
 )
--- a/dragonflyshelf/core/ownership/coordinator.py
+++ b/dragonflyshelf/core/ownership/coordinator.py
@@ -10,6 +10,7 @@
 
 from dragonflyshelf.core.configuration import objects as configuration
 from dragonflyshelf.core.configuration import view
+from dragonflyshelf.core.dispatch import messages as dispatch
 from dragonflyshelf.core import ids
 from dragonflyshelf.core.membership import objects as membership
 from dragonflyshelf.core.ownership import objects
@@ -59,6 +60,21 @@
             del self._pending_by_service[service]
         return []
 
+    def held(self) -> dispatch.LeadershipsHeld:
+        """Return the leaderships that this instance may use."""
+        own = (self._own.instance, self._own.incarnation)
+        held = tuple(
+            dispatch.HeldLeadership(
+                upstream=leader.upstream,
+                term=leader.term,
+                not_before=ids.Instant(0.0),
+            )
+            for segment in self._view.values(states.ObjectKind.SEGMENT)
+            for leader in segment.leaders
+            if (leader.instance, leader.incarnation) == own
+        )
+        return dispatch.LeadershipsHeld(held=held)
+
     def _plan(
         self,
         service: configuration.Service,
--- a/dragonflyshelf/runtime/control/coordinator.py
+++ b/dragonflyshelf/runtime/control/coordinator.py
@@ -119,6 +119,10 @@
                 message.error or f"it has term {message.term}",
             )
 
+    @task.handles(dispatch.ShardQuiet)
+    def _on_quiet(self, message: dispatch.ShardQuiet) -> None:
+        """No move waits for it yet."""
+
     def _send_grants(self, now: ids.Instant) -> None:
         lease_until = self._membership.lease_until
         for effect in self._grants.handle_tick(lease_until, now):
@@ -128,6 +132,7 @@
     def _publish(self) -> None:
         self._grants.on_view()
         self._router.post(router.ViewChanged(view=self._view))
+        self._router.post(self._ownership.held())
         members = self._membership.members()
         if members != self._members and self.peers_inbox is not None:
             self._members = members
--- a/dragonflyshelf/runtime/peers/coordinator.py
+++ b/dragonflyshelf/runtime/peers/coordinator.py
@@ -80,6 +80,7 @@
         self._dialling: dict[ids.InstanceId, asyncio.Task[None]] = {}
         self._links: set[link.PeerLinkTask] = set()
         self._server: asyncio.Server | None = None
+        self.inboxes_by_type: dict[type, inbox.Inbox] = {}
         self.port = 0
 
     async def async_listen(self, host: str, port: int) -> None:
@@ -139,7 +140,8 @@
 
     @task.handles(link.PeerReceived)
     def _on_received(self, message: link.PeerReceived) -> None:
-        self._control.post(message)
+        kind = type(message.message)
+        self.inboxes_by_type.get(kind, self._control).post(message)
 
     @task.handles(SendToPeer)
     def _on_send(self, message: SendToPeer) -> None:
--- a/dragonflyshelf/runtime/router/coordinator.py
+++ b/dragonflyshelf/runtime/router/coordinator.py
@@ -12,6 +12,7 @@
 from dragonflyshelf.core import messages
 from dragonflyshelf.core import registry
 from dragonflyshelf.core import settings
+from dragonflyshelf.core.timeline import events
 from dragonflyshelf.runtime import inbox
 from dragonflyshelf.runtime import messages as runtime_messages
 from dragonflyshelf.runtime.peers import coordinator as peers
@@ -54,7 +55,9 @@
             ids.UpstreamId, pool.UpstreamPoolTask
         ] = {}
         self._numbers = itertools.count(1)
+        self.control_inbox: inbox.Inbox | None = None
         self.peers_inbox: inbox.Inbox | None = None
+        self.timeline_inbox: inbox.Inbox | None = None
 
     def next_exchange(self) -> ids.ExchangeId:
         """Return a number that no other exchange of the process has."""
@@ -120,6 +123,18 @@
     def _on_lease(self, message: dispatch.LeaseChanged) -> None:
         self._run(message)
 
+    @task.handles(dispatch.LeadershipsHeld)
+    def _on_held(self, message: dispatch.LeadershipsHeld) -> None:
+        self._run(message)
+
+    @task.handles(dispatch.SealShard)
+    def _on_seal(self, message: dispatch.SealShard) -> None:
+        self._run(message)
+
+    @task.handles(dispatch.UnsealShard)
+    def _on_unseal(self, message: dispatch.UnsealShard) -> None:
+        self._run(message)
+
     @property
     def exchanges(self) -> int:
         """Return the number of unfinished exchanges."""
@@ -213,3 +228,13 @@
         if running is None or running.target is None:
             return
         running.target.post(messages.Cancel(exchange=effect.exchange))
+
+    @EFFECTS.register(dispatch.ShardQuiet)
+    def _report_quiet(self, effect: dispatch.ShardQuiet) -> None:
+        if self.control_inbox is not None:
+            self.control_inbox.post(effect)
+
+    @EFFECTS.register(events.RecordEvent)
+    def _record(self, effect: events.RecordEvent) -> None:
+        if self.timeline_inbox is not None:
+            self.timeline_inbox.post(effect)
--- a/dragonflyshelf/runtime/server.py
+++ b/dragonflyshelf/runtime/server.py
@@ -70,6 +70,7 @@
             control_task.inbox,
             router_task.next_exchange,
         )
+        router_task.control_inbox = control_task.inbox
         router_task.peers_inbox = peers_task.inbox
         control_task.peers_inbox = peers_task.inbox
         grants_task = grants.GrantsTask(config, control_task.inbox)
