--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,31 @@
+"""Tests of the list of known faults."""
+
+import pathlib
+
+import pytest
+
+from tests import conftest
+
+ROOT = pathlib.Path(__file__).parent.parent
+
+
+class TestKnownRed:
+    """Every entry is complete and names a test that exists."""
+
+    def test_entries_name_files(self) -> None:
+        """The file of each listed test exists."""
+        for nodeid in conftest.known_red():
+            path, _, name = nodeid.partition("::")
+            assert name, nodeid
+            assert (ROOT / path).exists(), nodeid
+
+    def test_entries_are_whole(self) -> None:
+        """Each entry has its command, what was seen and its issue."""
+        if not conftest.KNOWN_RED.exists():
+            pytest.skip("there are no known faults")
+        text = conftest.KNOWN_RED.read_text(encoding="utf-8")
+        for entry in text.split("\n\n"):
+            if conftest.PREFIX not in entry:
+                continue
+            for field in ("command:", "seen:", "issue:"):
+                assert field in entry, entry
