Register the tables that operators can ask for

Cause: operators need one way to see what every part holds, and other parts need a contract for their rows before the language exists. A table is a function from a task's parts to frozen rows, registered by name; the control and router tasks answer TableWanted with TableAnswer.

--- a/dragonflyshelf/runtime/control/coordinator.py
+++ b/dragonflyshelf/runtime/control/coordinator.py
@@ -5,6 +5,7 @@
 from absl import logging
 
 from dragonflyshelf.core.configuration import view
+from dragonflyshelf.core import diagnostics
 from dragonflyshelf.core.dispatch import messages as dispatch
 from dragonflyshelf.core import ids
 from dragonflyshelf.core.membership import coordinator as membership
@@ -16,6 +17,7 @@
 from dragonflyshelf.core import settings
 from dragonflyshelf.core import states
 from dragonflyshelf.runtime import inbox
+from dragonflyshelf.runtime import messages as runtime_messages
 from dragonflyshelf.runtime.peers import coordinator as peers
 from dragonflyshelf.runtime.peers import link
 from dragonflyshelf.runtime.platform import coordinator as platform_tasks
@@ -123,6 +125,19 @@
     def _on_quiet(self, message: dispatch.ShardQuiet) -> None:
         """No move waits for it yet."""
 
+    @task.handles(runtime_messages.TableWanted)
+    def _on_table(self, message: runtime_messages.TableWanted) -> None:
+        sources = diagnostics.ControlSources(
+            view=self._view,
+            membership=self._membership,
+            ownership=self._ownership,
+            grants=self._grants,
+        )
+        rows = diagnostics.rows(message.table, sources, self.now)
+        message.reply_to.post(
+            runtime_messages.TableAnswer(table=message.table, rows=rows)
+        )
+
     def _send_grants(self, now: ids.Instant) -> None:
         lease_until = self._membership.lease_until
         for effect in self._grants.handle_tick(lease_until, now):
--- a/dragonflyshelf/runtime/messages.py
+++ b/dragonflyshelf/runtime/messages.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from dragonflyshelf.core import diagnostics
 from dragonflyshelf.core import errors
 from dragonflyshelf.core import ids
 from dragonflyshelf.core import messages
@@ -77,3 +78,19 @@
 
     exchange: ids.ExchangeId
     cancelled: bool
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class TableWanted:
+    """Ask the task that owns a table for its rows."""
+
+    table: str
+    reply_to: inbox.Inbox
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class TableAnswer:
+    """The rows of a table as of now, typed."""
+
+    table: str
+    rows: diagnostics.Rows
--- a/dragonflyshelf/runtime/operators/coordinator.py
+++ b/dragonflyshelf/runtime/operators/coordinator.py
@@ -8,6 +8,7 @@
 
 from dragonflyshelf.core import registry
 from dragonflyshelf.runtime import http_server
+from dragonflyshelf.runtime import tables  # noqa: F401
 
 Route = abc.Callable[
     ["OperatorsListener", http_server.ServerRequest],
--- a/dragonflyshelf/runtime/router/coordinator.py
+++ b/dragonflyshelf/runtime/router/coordinator.py
@@ -5,6 +5,7 @@
 import itertools
 
 from dragonflyshelf.core.configuration import view
+from dragonflyshelf.core import diagnostics
 from dragonflyshelf.core.dispatch import coordinator
 from dragonflyshelf.core.dispatch import messages as dispatch
 from dragonflyshelf.core import errors
@@ -135,6 +136,16 @@
     def _on_unseal(self, message: dispatch.UnsealShard) -> None:
         self._run(message)
 
+    @task.handles(runtime_messages.TableWanted)
+    def _on_table(self, message: runtime_messages.TableWanted) -> None:
+        sources = diagnostics.RouterSources(
+            dispatch=self._core, exchanges=self.exchanges
+        )
+        rows = diagnostics.rows(message.table, sources, self.now)
+        message.reply_to.post(
+            runtime_messages.TableAnswer(table=message.table, rows=rows)
+        )
+
     @property
     def exchanges(self) -> int:
         """Return the number of unfinished exchanges."""
