Give the stand-ins all their faults, each in a small module

Cause: the experiments need shedding, stragglers, cold starts that topple, drains, silent and frozen connections, misleading reports, lost watches and call rates; the thin stand-ins had a delay and an outage.

The error "can't handle event type ConnectionClosed" that an instance reported for a lost platform was h11's text for an end of file before the answer: the client passed the end of file to h11 before it looked at it. It now raises a connection error of its own. The small HTTP server noticed a client that went away only once the handler had finished, so a watch kept counting for up to its whole wait; the handler is now cancelled.

Each instance gets a listener of its own at the platform, so that one instance or one data centre can be cut off from it.

--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -4,6 +4,7 @@
 from collections import abc
 import contextlib
 import dataclasses
+import json
 import pathlib
 import signal
 import socket
@@ -11,9 +12,14 @@
 import sys
 import tempfile
 
+import msgspec
+
 from dragonflyshelf.runtime import http_client
+from stand_ins import account
+from stand_ins import platform_faults
 
 HOST = "127.0.0.1"
+PLATFORM = "platform"
 READY_SECONDS = 20.0
 READY_POLL_SECONDS = 0.05
 STOP_SECONDS = 10.0
@@ -29,6 +35,7 @@
     caller_port: int
     operator_port: int
     peer_port: int
+    platform_port: int
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -51,7 +58,10 @@
     services: tuple[str, ...] = ("letters",)
     upstreams_per_service: int = 6
     upstream_delay: float = 0.0
+    upstream_faults: str = "{}"
+    unfenced_services: tuple[str, ...] = ()
     extra_settings: str = ""
+    seed: int = 0
 
 
 def free_ports(count: int) -> list[int]:
@@ -81,15 +91,16 @@
 
     def _draw_instances(self) -> tuple[InstanceAddress, ...]:
         count = self.description.instances
-        ports = free_ports(3 * count)
+        ports = free_ports(4 * count)
         centres = self.description.data_centres
         return tuple(
             InstanceAddress(
                 name=f"instance-{number}",
                 data_centre=centres[number % len(centres)],
-                caller_port=ports[3 * number],
-                operator_port=ports[3 * number + 1],
-                peer_port=ports[3 * number + 2],
+                caller_port=ports[4 * number],
+                operator_port=ports[4 * number + 1],
+                peer_port=ports[4 * number + 2],
+                platform_port=ports[4 * number + 3],
             )
             for number in range(count)
         )
@@ -105,17 +116,22 @@
                 service=service,
                 data_centre=centres[number % len(centres)],
                 port=next(ports),
-                fenced=True,
+                fenced=service not in self.description.unfenced_services,
             )
             for service in services
             for number in range(per_service)
         )
 
     def start_platform(self) -> None:
-        """Start the platform stand-in."""
+        """Start the platform stand-in, a listener for each instance."""
+        listeners = {one.name: one.platform_port for one in self.instances}
         self._start(
-            "platform",
-            ["stand_ins.platform", "--port", str(self.platform_port)],
+            PLATFORM,
+            [
+                "stand_ins.platform",
+                *("--port", str(self.platform_port)),
+                *("--listeners", json.dumps(listeners)),
+            ],
         )
 
     def start_upstream(self, upstream: UpstreamAddress) -> None:
@@ -128,6 +144,8 @@
                 *("--name", upstream.name),
                 *("--port", str(upstream.port)),
                 *("--delay", str(self.description.upstream_delay)),
+                *("--faults", self.description.upstream_faults),
+                *("--seed", str(self.description.seed + upstream.port)),
                 fenced,
             ],
         )
@@ -153,9 +171,30 @@
                 while not await async_is_ready(instance.operator_port):
                     await asyncio.sleep(READY_POLL_SECONDS)
 
+    def kill(self, name: str) -> None:
+        """End a process at once, as a loss would."""
+        process = self.processes_by_name[name]
+        process.kill()
+        process.wait()
+
+    def pause(self, name: str) -> None:
+        """Stop a process until it is resumed."""
+        self.processes_by_name[name].send_signal(signal.SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        """Let a paused process go on."""
+        self.processes_by_name[name].send_signal(signal.SIGCONT)
+
+    def terminate(self, name: str) -> int:
+        """Ask a process to end; return its exit status."""
+        process = self.processes_by_name[name]
+        process.send_signal(signal.SIGTERM)
+        return process.wait(STOP_SECONDS)
+
     def stop_all(self) -> None:
         """End every process that this cluster has started."""
         for process in self.processes_by_name.values():
+            process.send_signal(signal.SIGCONT)
             process.send_signal(signal.SIGTERM)
         for process in self.processes_by_name.values():
             try:
@@ -175,7 +214,7 @@
             f"operator_port = {instance.operator_port}\n"
             "[platform]\n"
             "kind = http\n"
-            f"port = {self.platform_port}\n"
+            f"port = {instance.platform_port}\n"
             f"{self.description.extra_settings}\n"
         )
 
@@ -187,6 +226,41 @@
             )
 
 
+async def async_set_platform_faults(
+    cluster: Cluster, faults: platform_faults.Faults
+) -> None:
+    """Switch the faults of the platform stand-in."""
+    body = msgspec.json.encode(faults)
+    await async_post(cluster.platform_port, "/faults", body)
+
+
+async def async_set_upstream_faults(
+    upstream: UpstreamAddress, **switches: object
+) -> None:
+    """Switch the named faults of an upstream stand-in."""
+    body = msgspec.json.encode(switches)
+    await async_post(upstream.port, "/_faults", body)
+
+
+async def async_post(port: int, target: str, body: bytes = b"") -> bytes:
+    """Send a control call to a stand-in and return the answer's body."""
+    async with http_client.async_open(HOST, port) as client:
+        answer = await client.async_call("POST", target, body)
+        return answer.body
+
+
+async def async_runs(cluster: Cluster) -> list[account.Run]:
+    """Return every run of every upstream that is reachable."""
+    found: list[account.Run] = []
+    for one in cluster.upstreams:
+        try:
+            body = await async_post(one.port, "/_account")
+        except OSError:
+            continue
+        found.extend(msgspec.json.decode(body, type=list[account.Run]))
+    return found
+
+
 async def async_is_ready(port: int) -> bool:
     """Ask an instance's operators' listener whether it is ready."""
     async with http_client.async_open(HOST, port) as client:
--- a/dragonflyshelf/runtime/http_client.py
+++ b/dragonflyshelf/runtime/http_client.py
@@ -97,6 +97,8 @@
             event = self._http.next_event()
             if event is h11.NEED_DATA:
                 data = await self._reader.read(READ_BYTES)
+                if not data and response is None:
+                    raise ConnectionResetError("closed before the answer")
                 self._http.receive_data(data)
             elif isinstance(event, h11.Response):
                 response = event
@@ -104,8 +106,6 @@
                 parts.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
                 break
-            elif isinstance(event, h11.ConnectionClosed):
-                raise ConnectionResetError("closed before the answer")
         assert response is not None
         return HttpAnswer(
             status=response.status_code,
--- a/dragonflyshelf/runtime/http_server.py
+++ b/dragonflyshelf/runtime/http_server.py
@@ -79,7 +79,9 @@
         request = await self._async_read(http, reader)
         if request is None:
             return False
-        answer = await self._handler(request)
+        answer = await self._async_handle(http, request, reader)
+        if answer is None:
+            return False
         headers = [
             ("content-type", answer.content_type),
             ("content-length", str(len(answer.body))),
@@ -94,6 +96,33 @@
         await writer.drain()
         return http.our_state is h11.DONE and http.their_state is h11.DONE
 
+    async def _async_handle(
+        self,
+        http: h11.Connection,
+        request: ServerRequest,
+        reader: asyncio.StreamReader,
+    ) -> ServerAnswer | None:
+        """Run the handler; cancel it when the client goes away."""
+        handling = asyncio.ensure_future(self._handler(request))
+        try:
+            while not handling.done():
+                reading = asyncio.ensure_future(reader.read(READ_BYTES))
+                await asyncio.wait(
+                    (handling, reading), return_when=asyncio.FIRST_COMPLETED
+                )
+                if not reading.done():
+                    reading.cancel()
+                    await asyncio.wait((reading,))
+                if reading.cancelled():
+                    continue
+                data = reading.result()
+                http.receive_data(data)
+                if not data or len(http.trailing_data[0]) > READ_BYTES:
+                    return None
+            return handling.result()
+        finally:
+            handling.cancel()
+
     async def _async_read(
         self, http: h11.Connection, reader: asyncio.StreamReader
     ) -> ServerRequest | None:
--- a/stand_ins/upstream.py
+++ b/stand_ins/upstream.py
@@ -2,279 +2,170 @@
 
 Control calls, all with JSON bodies:
 
-* ``POST /_router/grants`` takes a ``Grant`` and answers the start id,
-  or 409 with the higher term it has seen;
-* ``POST /_router/release`` ends the grants of a term;
+* ``POST /_router/grants`` takes a ``fences.Grant`` and answers the start
+  id, or 409 with the higher term it has seen;
+* ``POST /_router/release`` ends the grants of some shards;
+* ``GET /health`` and ``GET /load`` report, late or wrong if so set;
 * ``GET /_account`` returns every run since the start;
-* ``POST /_faults`` sets ``Faults``.
+* ``GET /_counts`` returns ``account.Counts``;
+* ``POST /_faults`` sets the switches of ``load.Faults`` that it names;
+* ``POST /_cold`` starts cold without a word: grants are forgotten;
+* ``POST /_silence`` makes all present connections silent for good.
 """
 
 import asyncio
+from collections import abc
 import dataclasses
 import json
-import secrets
 import time
 
 import defopt
-import h11
 import msgspec
 
+from dragonflyshelf.core import registry
+from stand_ins import account
+from stand_ins import connection
+from stand_ins import fences
+from stand_ins import load
+
 STATUS_CONFLICT = 409
+STATUS_NOT_FOUND = 404
 STATUS_OK = 200
-HEADER_OUTCOME = b"x-outcome"
-NOT_RUN = b"not-run"
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class ShardEpoch:
-    """The epoch of one shard."""
+REPORT_INTERVAL = 0.05
+REPORTS_KEPT = 2000
 
-    shard: int
-    epoch: int
+Answer = tuple[int, object]
+Control = abc.Callable[["UpstreamStandIn", bytes], Answer]
+CONTROLS: registry.Registry[str, Control] = registry.Registry(
+    "upstream control calls"
+)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class Grant:
-    """A leader's right to send, for some shards, for ``ttl_ms``."""
-
-    service: str
-    instance: str
-    term: int
-    ttl_ms: int
-    shards: tuple[ShardEpoch, ...] = ()
-
+class Report:
+    """What the health and load endpoints say, as of ``at``."""
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Release:
-    """The end of the grants of one shard, or of all."""
-
-    instance: str
-    term: int
-    shards: tuple[int, ...] = ()
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Run:
-    """One request that ran; ``at`` is wall-clock time in seconds."""
-
-    request_id: str
-    method: str
-    target: str
-    shard: int
-    epoch: int
-    term: int
-    instance: str
     at: float
-
-
-@dataclasses.dataclass(kw_only=True)
-class Faults:
-    """Faults that are switched on; the delay is in seconds."""
-
-    delay: float = 0.0
-
-
-@dataclasses.dataclass(kw_only=True)
-class Granted:
-    """The epoch of a shard and until when it may be served."""
-
-    epoch: int
-    until: float
+    in_flight: int
+    draining: bool
 
 
 class UpstreamStandIn:
     """State of the upstream that all connections share."""
 
-    def __init__(self, name: str, fenced: bool, delay: float) -> None:
+    def __init__(
+        self, name: str, fenced: bool, faults: load.Faults, seed: int = 0
+    ) -> None:
         """Create an upstream that has no grants."""
         self.name = name
-        self.fenced = fenced
-        self.start_id = secrets.token_hex(8)
-        self.term = 0
-        self.until = 0.0
-        self.granted_by_shard: dict[int, Granted] = {}
-        self.runs: list[Run] = []
-        self.faults = Faults(delay=delay)
-
-    def grant(self, grant: Grant) -> bool:
-        """Take in a grant; return False for an old term."""
-        if grant.term < self.term:
-            return False
-        self.term = grant.term
-        self.until = time.monotonic() + grant.ttl_ms / 1000
-        for one in grant.shards:
-            present = self.granted_by_shard.get(one.shard)
-            if present is None or present.epoch <= one.epoch:
-                self.granted_by_shard[one.shard] = Granted(
-                    epoch=one.epoch, until=self.until
-                )
-        return True
-
-    def release(self, release: Release) -> bool:
-        """Forget shards; return False for an old term."""
-        if release.term < self.term:
-            return False
-        for shard in release.shards:
-            self.granted_by_shard.pop(shard, None)
-        return True
-
-    def allows(self, run: Run) -> bool:
-        """Tell whether the fence of a request is valid now."""
-        if not self.fenced:
-            return True
-        now = time.monotonic()
-        if run.term < self.term or now > self.until:
-            return False
-        if run.shard < 0:
-            return True
-        granted = self.granted_by_shard.get(run.shard)
-        if granted is None:
-            return False
-        return granted.epoch == run.epoch and now <= granted.until
-
-
-class UpstreamConnection(asyncio.Protocol):
-    """One connection; requests on it run one after the other."""
-
-    def __init__(self, state: UpstreamStandIn) -> None:
-        """Create the protocol."""
-        self._state = state
-        self._http = h11.Connection(h11.SERVER)
-        self._transport: asyncio.Transport | None = None
-        self._head: h11.Request | None = None
-        self._body = bytearray()
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keep the transport."""
-        self._transport = transport  # type: ignore[assignment]
-
-    def connection_lost(self, error: Exception | None) -> None:
-        """Forget the transport."""
-        self._transport = None
-
-    def data_received(self, data: bytes) -> None:
-        """Take in bytes."""
-        self._http.receive_data(data)
-        self._advance()
-
-    def _advance(self) -> None:
-        while self._transport is not None:
-            try:
-                event = self._http.next_event()
-            except h11.RemoteProtocolError:
-                self._transport.close()
-                return
-            if event is h11.NEED_DATA or event is h11.PAUSED:
-                return
-            if isinstance(event, h11.Request):
-                self._head = event
-                self._body = bytearray()
-            elif isinstance(event, h11.Data):
-                self._body += event.data
-            elif isinstance(event, h11.EndOfMessage):
-                self._on_request()
-            else:
-                self._transport.close()
-                return
-
-    def _on_request(self) -> None:
-        assert self._head is not None
-        target = self._head.target.decode()
-        if target.startswith("/_"):
-            self._control(target)
-            return
-        delay = self._state.faults.delay
-        if delay:
-            loop = asyncio.get_running_loop()
-            loop.call_later(delay, self._run)
-            return
-        self._run()
-
-    def _run(self) -> None:
-        if self._transport is None:
-            return
-        assert self._head is not None
-        run = self._describe(self._head)
-        if not self._state.allows(run):
-            self._answer(
-                STATUS_CONFLICT,
-                b'{"message": "fence is not valid"}',
-                ((HEADER_OUTCOME, NOT_RUN),),
+        self.faults = faults
+        self.fences = fences.Fences(fenced)
+        self.load = load.LoadModel(faults, seed, time.monotonic())
+        self.runs: list[account.Run] = []
+        self.counts = account.Counts()
+        self.connections: set[connection.UpstreamConnection] = set()
+        self.held: list[abc.Callable[[], None]] = []
+        self.reports: list[Report] = []
+
+    def set_faults(self, body: bytes) -> None:
+        """Change the switches that a JSON object names."""
+        merged = msgspec.to_builtins(self.faults) | json.loads(body)
+        self.faults = msgspec.convert(merged, load.Faults)
+        self.load.faults = self.faults
+        if not self.faults.frozen:
+            held, self.held = self.held, []
+            for resume in held:
+                resume()
+
+    def control(self, target: str, body: bytes) -> Answer:
+        """Carry out a control call."""
+        if target not in CONTROLS:
+            return STATUS_NOT_FOUND, None
+        return CONTROLS.get(target)(self, body)
+
+    def note_report(self) -> None:
+        """Keep the present state for late reports."""
+        self.reports.append(
+            Report(
+                at=time.monotonic(),
+                in_flight=self.load.in_flight,
+                draining=self.faults.draining,
             )
-            return
-        self._state.runs.append(run)
-        body = {"upstream": self._state.name, "request_id": run.request_id}
-        self._answer(STATUS_OK, json.dumps(body).encode())
-
-    def _describe(self, head: h11.Request) -> Run:
-        headers = dict(head.headers)
-        return Run(
-            request_id=headers.get(b"x-request-id", b"").decode(),
-            method=head.method.decode(),
-            target=head.target.decode(),
-            shard=int(headers.get(b"x-router-shard", b"-1")),
-            epoch=int(headers.get(b"x-router-epoch", b"0")),
-            term=int(headers.get(b"x-router-term", b"0")),
-            instance=headers.get(b"x-router-instance", b"").decode(),
-            at=time.time(),
-        )
-
-    def _control(self, target: str) -> None:
-        state = self._state
-        body = bytes(self._body)
-        ok = True
-        value: object = None
-        if target == "/_router/grants":
-            ok = state.grant(msgspec.json.decode(body, type=Grant))
-            value = {"start_id": state.start_id, "term": state.term}
-        elif target == "/_router/release":
-            ok = state.release(msgspec.json.decode(body, type=Release))
-            value = {"start_id": state.start_id, "term": state.term}
-        elif target == "/_account":
-            value = state.runs
-        elif target == "/_faults":
-            state.faults = msgspec.json.decode(body, type=Faults)
-        status = STATUS_OK if ok else STATUS_CONFLICT
-        self._answer(status, msgspec.json.encode(value))
-
-    def _answer(
-        self,
-        status: int,
-        body: bytes,
-        headers: tuple[tuple[bytes, bytes], ...] = (),
-    ) -> None:
-        if self._transport is None:
-            return
-        response = h11.Response(
-            status_code=status,
-            headers=[
-                (b"content-type", b"application/json"),
-                (b"content-length", b"%d" % len(body)),
-                *headers,
-            ],
         )
-        data = self._http.send(response) or b""
-        assert self._head is not None
-        if self._head.method != b"HEAD":
-            data += self._http.send(h11.Data(data=body)) or b""
-        data += self._http.send(h11.EndOfMessage()) or b""
-        self._transport.write(data)
-        if self._http.our_state is h11.MUST_CLOSE:
-            self._transport.close()
-            return
-        self._http.start_next_cycle()
-        asyncio.get_running_loop().call_soon(self._advance)
+        del self.reports[:-REPORTS_KEPT]
+
+    def report(self) -> Report:
+        """Return the state as of ``report_lag`` seconds ago."""
+        wanted = time.monotonic() - self.faults.report_lag
+        if self.faults.report_misleads or not self.reports:
+            return Report(at=wanted, in_flight=0, draining=False)
+        for one in reversed(self.reports):
+            if one.at <= wanted:
+                return one
+        return self.reports[0]
+
+    @CONTROLS.register("/_router/grants")
+    def _grant(self, body: bytes) -> Answer:
+        grant = msgspec.json.decode(body, type=fences.Grant)
+        accepted = self.fences.grant(grant, time.monotonic())
+        return self._fence_answer(accepted)
+
+    @CONTROLS.register("/_router/release")
+    def _release(self, body: bytes) -> Answer:
+        release = msgspec.json.decode(body, type=fences.Release)
+        return self._fence_answer(self.fences.release(release))
+
+    def _fence_answer(self, accepted: bool) -> Answer:
+        value = {"start_id": self.fences.start_id, "term": self.fences.term}
+        return STATUS_OK if accepted else STATUS_CONFLICT, value
+
+    @CONTROLS.register("/health")
+    def _health(self, body: bytes) -> Answer:
+        return STATUS_OK, {"draining": self.report().draining}
+
+    @CONTROLS.register("/load")
+    def _load(self, body: bytes) -> Answer:
+        report = self.report()
+        slots = self.faults.slots
+        return STATUS_OK, {"in_flight": report.in_flight, "slots": slots}
+
+    @CONTROLS.register("/_account")
+    def _account(self, body: bytes) -> Answer:
+        return STATUS_OK, self.runs
+
+    @CONTROLS.register("/_counts")
+    def _counts(self, body: bytes) -> Answer:
+        return STATUS_OK, self.counts
+
+    @CONTROLS.register("/_faults")
+    def _faults(self, body: bytes) -> Answer:
+        self.set_faults(body)
+        return STATUS_OK, self.faults
+
+    @CONTROLS.register("/_cold")
+    def _cold(self, body: bytes) -> Answer:
+        self.fences.reset()
+        self.load.start_cold(time.monotonic())
+        return STATUS_OK, None
+
+    @CONTROLS.register("/_silence")
+    def _silence(self, body: bytes) -> Answer:
+        for one in self.connections:
+            one.silent = not one.controls
+        return STATUS_OK, None
 
 
 async def async_main(state: UpstreamStandIn, host: str, port: int) -> None:
     """Serve until the process is ended."""
     loop = asyncio.get_running_loop()
     server = await loop.create_server(
-        lambda: UpstreamConnection(state), host, port
+        lambda: connection.UpstreamConnection(state), host, port
     )
     bound = server.sockets[0].getsockname()[1]
     print(f"upstream stand-in {state.name} listens on {bound}", flush=True)
-    await asyncio.Event().wait()
+    while True:
+        state.note_report()
+        await asyncio.sleep(REPORT_INTERVAL)
 
 
 def main(
@@ -284,6 +175,8 @@
     host: str = "127.0.0.1",
     fenced: bool = True,
     delay: float = 0.0,
+    faults: str = "{}",
+    seed: int = 0,
 ) -> None:
     """Run an upstream stand-in.
 
@@ -291,9 +184,12 @@
     :param port: port to bind
     :param host: address to bind
     :param fenced: whether it checks grants
-    :param delay: time that each request takes, in seconds
+    :param delay: mean time that each request takes, in seconds
+    :param faults: JSON object of the switches that are on at the start
+    :param seed: seed of the service times
     """
-    state = UpstreamStandIn(name, fenced, delay)
+    state = UpstreamStandIn(name, fenced, load.Faults(delay=delay), seed)
+    state.set_faults(faults.encode())
     asyncio.run(async_main(state, host, port))
 
 
