Add the load tool, the checker and the runner of experiments

Cause: no experiment could yet say what became of each request, and the demo counts latencies from the instant of sending.

The load tool is open loop over several processes and times each request from the instant at which it was meant to be sent. The checker joins its answers with the accounts of the upstreams; tests plant each of the seven violations and it finds that one and no other. The limit is checked exactly for admissions that are only known to lie between the intended instant and the run.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,10 @@
 PYTHON ?= python3
 STAMP = $(VENV)/.installed
 
-.PHONY: setup format lint test demo
+.PHONY: setup format lint test demo bench bench-full soak
+
+SECONDS = 60
+SEED = 1
 
 setup: $(STAMP)
 
@@ -23,3 +26,12 @@
 
 demo: $(STAMP)
 	$(VENV)/bin/python -m bench.demo
+
+bench: $(STAMP)
+	$(VENV)/bin/python -m bench.run --length short --seed $(SEED)
+
+bench-full: $(STAMP)
+	$(VENV)/bin/python -m bench.run --length full --seed $(SEED)
+
+soak: $(STAMP)
+	$(VENV)/bin/python -m bench.soak --seconds $(SECONDS) --seed $(SEED)
