Add the operators' language and the checks of commands

Cause: objects could only be set by direct updates of the platform. One grammar for queries and commands is parsed into typed statements by a pure parser; a mistake points at its column and names what was expected. No listener carries commands yet.

--- a/dragonflyshelf/core/errors.py
+++ b/dragonflyshelf/core/errors.py
@@ -172,3 +172,57 @@
 @error_code("DS300", 400, states.Step.SETTINGS)
 class BadSettings(RouterError):
     """The settings file has mistakes."""
+
+
+@error_code("DS400", 400, states.Step.COMMAND)
+class BadStatement(RouterError):
+    """The statement of an operator has a mistake."""
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        column: int = 0,
+        expected: tuple[str, ...] = (),
+    ) -> None:
+        """Create an error; the column counts from 1, 0 for none."""
+        where = f" at column {column}" if column else ""
+        hint = f"; expected {', '.join(expected)}" if expected else ""
+        super().__init__(f"{message}{where}{hint}")
+        self.column = column
+        self.expected = expected
+
+
+@error_code("DS401", 401, states.Step.AUTHENTICATION)
+class OperatorRefused(RouterError):
+    """The operator's token is missing or unknown."""
+
+
+@error_code("DS402", 403, states.Step.AUTHENTICATION)
+class RoleMissing(RouterError):
+    """The operator's role does not allow the statement."""
+
+
+@error_code("DS403", 422, states.Step.COMMAND)
+class CommandRefused(RouterError):
+    """The change fails a check before acceptance."""
+
+
+@error_code("DS404", 404, states.Step.COMMAND)
+class NoSuchObject(RouterError):
+    """The statement names an object that does not exist."""
+
+
+@error_code("DS405", 409, states.Step.COMMAND)
+class ObjectExists(RouterError):
+    """The object to create exists already."""
+
+
+@error_code("DS406", 504, states.Step.COMMAND)
+class ResultUnknown(RouterError):
+    """The platform did not say whether the change took effect."""
+
+
+@error_code("DS407", 504, states.Step.CONFIGURATION)
+class NotInForce(RouterError):
+    """Some instances have not applied the change yet."""
--- /dev/null
+++ b/tests/core/language/strategies.py
@@ -0,0 +1,141 @@
+"""Strategies that draw statements of the operators' language."""
+
+from typing import Any
+
+from hypothesis import strategies
+
+from dragonflyshelf.core.language import kinds
+from dragonflyshelf.core.language import statements
+
+NAMES = strategies.text(min_size=1, max_size=12)
+IDENTIFIERS = strategies.from_regex(r"[a-z_][a-z0-9_]{0,8}", fullmatch=True)
+VERSIONS = strategies.none() | strategies.integers(0, 2**40)
+WORDS = [one for one in kinds.KINDS if one != "key"]
+SCALARS = (
+    strategies.integers(-(10**9), 10**9)
+    | strategies.floats(allow_nan=False, allow_infinity=False)
+    | strategies.text(max_size=12)
+)
+
+
+def values_of(option: kinds.Option) -> Any:
+    """Return a strategy of the valid values of an option."""
+    if option.type is bool:
+        return strategies.booleans()
+    if option.type is str:
+        return NAMES
+    if option.bounds is None:
+        return strategies.sampled_from(list(option.type))
+    if option.type is int:
+        return strategies.integers(
+            option.bounds.minimum, option.bounds.maximum
+        )
+    return strategies.floats(option.bounds.minimum, option.bounds.maximum)
+
+
+@strategies.composite
+def settings(
+    draw: Any, kind: kinds.Kind, required: bool
+) -> tuple[statements.Setting, ...]:
+    """Draw options of a kind in any order."""
+    options = kind.options_by_name.values()
+    chosen = [
+        one
+        for one in options
+        if (required and one.required) or draw(strategies.booleans())
+    ]
+    if not chosen and not required:
+        chosen = [draw(strategies.sampled_from(list(options)))]
+    return tuple(
+        statements.Setting(name=one.name, value=draw(values_of(one)))
+        for one in draw(strategies.permutations(chosen))
+    )
+
+
+@strategies.composite
+def commands(draw: Any) -> statements.Command:
+    """Draw any command."""
+    kind = kinds.KINDS.get(draw(strategies.sampled_from(WORDS)))
+    name = draw(NAMES)
+    expected = draw(VERSIONS)
+    forced = draw(strategies.booleans())
+    return draw(
+        strategies.sampled_from(
+            [
+                statements.Alter(
+                    kind=kind.kind,
+                    name=name,
+                    settings=draw(settings(kind, False)),
+                    expected=expected,
+                    forced=forced,
+                ),
+                statements.Create(
+                    kind=kind.kind,
+                    name=name,
+                    settings=draw(settings(kind, True)),
+                    forced=forced,
+                ),
+                statements.Drop(
+                    kind=kind.kind,
+                    name=name,
+                    expected=expected,
+                    forced=forced,
+                ),
+                statements.GrantKey(key_id=name, workspace=draw(NAMES)),
+                statements.WithdrawKey(key_id=name, expected=expected),
+            ]
+        )
+    )
+
+
+CONDITIONS = strategies.builds(
+    statements.Condition,
+    name=IDENTIFIERS,
+    comparison=strategies.sampled_from(list(statements.Comparison)),
+    value=SCALARS,
+    column=strategies.just(0),
+)
+SHOWS = strategies.builds(
+    statements.Show,
+    table=NAMES,
+    everywhere=strategies.booleans(),
+    where=strategies.lists(CONDITIONS, max_size=3).map(tuple),
+    columns=strategies.lists(
+        strategies.builds(
+            statements.ColumnName, name=IDENTIFIERS, column=strategies.just(0)
+        ),
+        max_size=3,
+    ).map(tuple),
+    order=strategies.lists(
+        strategies.builds(
+            statements.OrderTerm,
+            name=IDENTIFIERS,
+            descending=strategies.booleans(),
+            column=strategies.just(0),
+        ),
+        max_size=3,
+    ).map(tuple),
+    limit=strategies.none() | strategies.integers(0, 10**6),
+    column=strategies.just(0),
+)
+QUERIES = strategies.one_of(
+    SHOWS,
+    strategies.builds(
+        statements.ExplainKey, service=NAMES, key=strategies.text(max_size=9)
+    ),
+    strategies.builds(
+        statements.ExplainRequest,
+        method=NAMES,
+        target=strategies.text(max_size=9),
+        workspace=strategies.just("") | NAMES,
+    ),
+    strategies.builds(
+        statements.Wait,
+        kind=strategies.sampled_from(list(kinds.WORDS_BY_KIND)),
+        name=NAMES,
+        version=strategies.integers(0, 2**40),
+        timeout=strategies.integers(0, 600).map(float),
+    ),
+    strategies.just(statements.Audit()),
+    strategies.builds(statements.DryRun, command=commands()),
+)
--- /dev/null
+++ b/tests/core/language/test_parser.py
@@ -0,0 +1,130 @@
+"""Tests of the parser of the operators' language."""
+
+import hypothesis
+import pytest
+
+from dragonflyshelf.core import errors
+from dragonflyshelf.core.language import parser
+from dragonflyshelf.core.language import printer
+from dragonflyshelf.core.language import statements
+from dragonflyshelf.core import states
+from tests.core.language import strategies
+
+FIXED = hypothesis.settings(
+    derandomize=True, deadline=None, max_examples=300, database=None
+)
+
+
+class TestRoundTrip:
+    """The text of a statement is parsed to an equal statement."""
+
+    @FIXED
+    @hypothesis.given(strategies.commands())
+    def test_commands(self, statement: statements.Command) -> None:
+        """Every command comes back."""
+        text = printer.print_statement(statement)
+        assert parser.parse(text) == statement
+
+    @FIXED
+    @hypothesis.given(strategies.QUERIES)
+    def test_queries(self, statement: statements.Query) -> None:
+        """Every query comes back."""
+        text = printer.print_statement(statement)
+        assert parser.parse(text) == statement
+
+
+class TestAnyText:
+    """No text makes the parser fail in another way than with a code."""
+
+    @FIXED
+    @hypothesis.given(hypothesis.strategies.text(max_size=60))
+    def test_random(self, text: str) -> None:
+        """A random text is parsed or refused within its columns."""
+        self.check(text)
+
+    @FIXED
+    @hypothesis.given(
+        strategies.commands(),
+        hypothesis.strategies.integers(0, 200),
+        hypothesis.strategies.text(max_size=3),
+    )
+    def test_damaged(
+        self, command: statements.Command, place: int, inserted: str
+    ) -> None:
+        """A damaged command is parsed or refused within its columns."""
+        text = printer.print_statement(command)
+        self.check(text[:place] + inserted + text[place + 1 :])
+
+    def check(self, text: str) -> None:
+        """Parse; a refusal has a column and says what was expected."""
+        try:
+            parser.parse(text)
+        except errors.BadStatement as error:
+            assert 1 <= error.column <= len(text) + 1
+            assert error.expected
+
+
+class TestMistakes:
+    """A mistake names its column and what was expected there."""
+
+    @pytest.mark.parametrize(
+        ("text", "column", "expected"),
+        [
+            ("", 1, "create"),
+            ("show", 5, "a name"),
+            ("shw services", 1, "show"),
+            ("show services limit -1", 21, "a whole number from 0"),
+            ("show services order rate", 21, "by"),
+            ("show services where rate", 25, "one of = != < <= > >= ~"),
+            ("create workspac demo", 8, "workspace"),
+            ("create workspace demo rate 1", 22, "burst"),
+            ("create workspace demo rate x burst 1", 28, "a number"),
+            ("create workspace demo rate 1e400 burst 1", 28, "a number"),
+            ("create service s shards 99999", 25, "a whole number from 1"),
+            ("create service s shards 1.5", 25, "a whole number from 1"),
+            ("create service s priority high", 27, "patient or urgent"),
+            ("create key k", 8, "workspace"),
+            ("create upstream u host 127.0.0.1", 24, "a quoted text"),
+            ("alter workspace demo rat 3", 22, "rate"),
+            ("alter workspace demo rate 3 rate 4", 29, "weight"),
+            ("alter workspace demo", 21, "a name"),
+            ("drop key k ; x", 12, "force"),
+            ('drop key ""', 10, "a name"),
+            ('create service "a\\q"', 16, "uXXXX"),
+            ("grant key k demo", 13, "to"),
+            ("dry run show services", 9, "create"),
+            ("drop service s if version 1.5", 27, "a whole number from 0"),
+        ],
+    )
+    def test_mistake(self, text: str, column: int, expected: str) -> None:
+        """The message has the column and the expected word."""
+        with pytest.raises(errors.BadStatement) as caught:
+            parser.parse(text)
+        assert caught.value.column == column
+        assert expected in " ".join(caught.value.expected)
+
+    def test_too_long(self) -> None:
+        """A statement over the bound is refused before it is parsed."""
+        with pytest.raises(errors.BadStatement):
+            parser.parse("x" * (parser.LONGEST_STATEMENT + 1))
+
+
+class TestForms:
+    """Some forms and the statements they stand for."""
+
+    def test_list_is_show(self) -> None:
+        """The word list shows a whole table."""
+        assert parser.parse("list services") == parser.parse("show services")
+
+    def test_keyword_as_name(self) -> None:
+        """A name may begin with a keyword."""
+        found = parser.parse("create workspace iffy rate 1 burst 2 force")
+        assert found == statements.Create(
+            kind=states.ObjectKind.WORKSPACE,
+            name="iffy",
+            settings=(
+                statements.Setting(name="rate", value=1.0),
+                statements.Setting(name="burst", value=2.0),
+            ),
+            forced=True,
+        )
--- /dev/null
+++ b/tests/core/language/test_tables.py
@@ -0,0 +1,97 @@
+"""Tests of the evaluation of queries."""
+
+import pytest
+
+from dragonflyshelf.core import errors
+from dragonflyshelf.core.language import parser
+from dragonflyshelf.core.language import tables
+
+TABLE = tables.ResultTable(
+    columns=("name", "rate", "fenced", "code"),
+    rows=(
+        ("b", 2.0, True, "7"),
+        ("a", 10, False, "x"),
+        ("c", None, True, "07"),
+    ),
+)
+
+
+def names(text: str) -> list[str]:
+    """Return the names in the rows that a statement shows."""
+    result = tables.evaluate(parser.parse(text), TABLE)
+    return [row[result.columns.index("name")] for row in result.rows]
+
+
+class TestWhere:
+    """Conditions keep the rows that satisfy all of them."""
+
+    @pytest.mark.parametrize(
+        ("condition", "expected"),
+        [
+            ("rate > 2", ["a"]),
+            ("rate >= 2 and name != a", ["b"]),
+            ("rate < 2.5", ["b"]),
+            ("rate <= 10", ["b", "a"]),
+            ("rate != 2", ["a", "c"]),
+            ("fenced = yes", ["b", "c"]),
+            ("fenced != YES", ["a"]),
+            ("code = 7", ["b"]),
+            ('code = "07"', ["c"]),
+            ("name ~ A", ["a"]),
+        ],
+    )
+    def test_condition(self, condition: str, expected: list[str]) -> None:
+        """The rows keep their order."""
+        assert names(f"show t where {condition}") == expected
+
+
+class TestOrderAndLimit:
+    """Rows are sorted by several columns and cut."""
+
+    def test_order(self) -> None:
+        """An empty cell sorts first."""
+        assert names("show t order by rate") == ["c", "b", "a"]
+        assert names("show t order by rate desc") == ["a", "b", "c"]
+        assert names("show t order by fenced, name desc") == ["a", "c", "b"]
+
+    def test_limit(self) -> None:
+        """The limit may be nothing."""
+        assert names("show t order by name limit 1") == ["a"]
+        assert names("show t limit 0") == []
+
+
+class TestColumns:
+    """Columns are shown in the order asked for."""
+
+    def test_columns(self) -> None:
+        """A shown column need not be one that sorts."""
+        text = "show t columns code, name order by rate limit 1"
+        result = tables.evaluate(parser.parse(text), TABLE)
+        assert result.columns == ("code", "name")
+        assert result.rows == (("07", "c"),)
+
+    def test_unknown(self) -> None:
+        """An unknown column is pointed at, with the known ones."""
+        with pytest.raises(errors.BadStatement) as caught:
+            names("show t where colour = red")
+        assert caught.value.column == 14
+        assert caught.value.expected == TABLE.columns
+
+    def test_of_registered(self) -> None:
+        """A table without rows has columns."""
+        assert "burst" in tables.from_rows("workspaces", ()).columns
+
+
+class TestMerge:
+    """Rows of several instances form one table."""
+
+    def test_merge(self) -> None:
+        """Each row says whose it is; missing columns are empty."""
+        merged = tables.merge(
+            {
+                "y": tables.ResultTable(columns=("a", "b"), rows=((1, 2),)),
+                "x": tables.ResultTable(columns=("b",), rows=((3,),)),
+            }
+        )
+        assert merged.columns == (tables.COLUMN_INSTANCE, "a", "b")
+        assert merged.rows == (("x", None, 3), ("y", 1, 2))
