--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -25,6 +25,8 @@
 STOP_SECONDS = 10.0
 STATUS_OK = 200
 
+DECODE_RUN = msgspec.json.Decoder(account.Run).decode
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class InstanceAddress:
@@ -146,6 +148,7 @@
                 *("--delay", str(self.description.upstream_delay)),
                 *("--faults", self.description.upstream_faults),
                 *("--seed", str(self.description.seed + upstream.port)),
+                *("--journal", str(self._journal(upstream))),
                 fenced,
             ],
         )
@@ -171,6 +174,18 @@
                 while not await async_is_ready(instance.operator_port):
                     await asyncio.sleep(READY_POLL_SECONDS)
 
+    def runs(self) -> list[account.Run]:
+        """Return every run of every upstream, also of killed ones."""
+        found: list[account.Run] = []
+        for one in self.upstreams:
+            path = self._journal(one)
+            lines = path.read_bytes().splitlines() if path.exists() else []
+            found.extend(DECODE_RUN(line) for line in lines)
+        return found
+
+    def _journal(self, upstream: UpstreamAddress) -> pathlib.Path:
+        return self.folder / f"{upstream.name}.journal"
+
     def kill(self, name: str) -> None:
         """End a process at once, as a loss would."""
         process = self.processes_by_name[name]
@@ -249,18 +264,6 @@
         return answer.body
 
 
-async def async_runs(cluster: Cluster) -> list[account.Run]:
-    """Return every run of every upstream that is reachable."""
-    found: list[account.Run] = []
-    for one in cluster.upstreams:
-        try:
-            body = await async_post(one.port, "/_account")
-        except OSError:
-            continue
-        found.extend(msgspec.json.decode(body, type=list[account.Run]))
-    return found
-
-
 async def async_is_ready(port: int) -> bool:
     """Ask an instance's operators' listener whether it is ready."""
     async with http_client.async_open(HOST, port) as client:
--- a/bench/outcome.py
+++ b/bench/outcome.py
@@ -128,7 +128,7 @@
             seed=options.seed,
         )
         found = await load.async_run(plan)
-        runs = await clusters.async_runs(cluster)
+        runs = cluster.runs()
     counts = checker.counts(checker.check(accounts(found, runs)))
     return experiments.Result(
         figures={
--- a/stand_ins/connection.py
+++ b/stand_ins/connection.py
@@ -150,7 +150,7 @@
 
     def _run(self, run: account.Run, needed: float, remaining: float) -> None:
         state = self._state
-        state.runs.append(run)
+        state.record(run)
         state.load.in_flight += 1
         self._running = True
         counts = state.counts
--- a/stand_ins/upstream.py
+++ b/stand_ins/upstream.py
@@ -15,9 +15,11 @@
 
 import asyncio
 from collections import abc
+import contextlib
 import dataclasses
 import json
 import time
+from typing import BinaryIO
 
 import defopt
 import msgspec
@@ -54,10 +56,16 @@
     """State of the upstream that all connections share."""
 
     def __init__(
-        self, name: str, fenced: bool, faults: load.Faults, seed: int = 0
+        self,
+        name: str,
+        fenced: bool,
+        faults: load.Faults,
+        seed: int = 0,
+        journal: BinaryIO | None = None,
     ) -> None:
         """Create an upstream that has no grants."""
         self.name = name
+        self._journal = journal
         self.faults = faults
         self.fences = fences.Fences(fenced)
         self.load = load.LoadModel(faults, seed, time.monotonic())
@@ -77,6 +85,12 @@
             for resume in held:
                 resume()
 
+    def record(self, run: account.Run) -> None:
+        """Keep a run, in the journal first, which survives a kill."""
+        if self._journal is not None:
+            self._journal.write(msgspec.json.encode(run) + b"\n")
+        self.runs.append(run)
+
     def control(self, target: str, body: bytes) -> Answer:
         """Carry out a control call."""
         if target not in CONTROLS:
@@ -177,6 +191,7 @@
     delay: float = 0.0,
     faults: str = "{}",
     seed: int = 0,
+    journal: str = "",
 ) -> None:
     """Run an upstream stand-in.
 
@@ -187,10 +202,17 @@
     :param delay: mean time that each request takes, in seconds
     :param faults: JSON object of the switches that are on at the start
     :param seed: seed of the service times
+    :param journal: file to which each run is appended, none if empty
     """
-    state = UpstreamStandIn(name, fenced, load.Faults(delay=delay), seed)
-    state.set_faults(faults.encode())
-    asyncio.run(async_main(state, host, port))
+    with contextlib.ExitStack() as stack:
+        opened = None
+        if journal:
+            opened = stack.enter_context(open(journal, "ab", buffering=0))
+        state = UpstreamStandIn(
+            name, fenced, load.Faults(delay=delay), seed, opened
+        )
+        state.set_faults(faults.encode())
+        asyncio.run(async_main(state, host, port))
 
 
 if __name__ == "__main__":
