Lead by batched renewals, promises, relayed watches and moves in two steps

Cause: each instance wrote its own renewal and kept its own watch, any instance could remove another, and a shard changed owner in one update without waiting for the former one. Rosters now hold removers beside members. One instance of each data centre writes the renewals of all and keeps the watch; the others get both from it over the links and step in by rank. Past its lease an instance goes on by promises of all removers of its roster. Leaders seal, release or outwait a shard before its next owner is written, notice a silent upstream and spread its shards.

--- a/dragonflyshelf/codec/grants.py
+++ b/dragonflyshelf/codec/grants.py
@@ -28,6 +28,16 @@
     shards: tuple[messages.ShardEpoch, ...]
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ReleaseBody:
+    """Which shards an upstream owns no longer."""
+
+    service: ids.ServiceName
+    instance: ids.InstanceId
+    term: ids.Term
+    shards: tuple[ids.ShardId, ...]
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class GrantAnswer:
     """The upstream's start and the highest term it has seen."""
@@ -49,4 +59,18 @@
     )
 
 
+def encode_release(
+    release: messages.SendRelease, instance: ids.InstanceId
+) -> bytes:
+    """Return the body of a release."""
+    return msgspec.json.encode(
+        ReleaseBody(
+            service=release.service,
+            instance=instance,
+            term=release.term,
+            shards=tuple(one.shard for one in release.shards),
+        )
+    )
+
+
 decode_answer = msgspec.json.Decoder(GrantAnswer).decode
--- a/dragonflyshelf/codec/peer.capnp
+++ b/dragonflyshelf/codec/peer.capnp
@@ -75,6 +75,58 @@
   version @2 :UInt64;
 }
 
+struct RenewalRequest {
+  dataCentre @0 :Text;
+  instance @1 :Text;
+  incarnation @2 :UInt64;
+  renewal @3 :UInt64;
+  leaving @4 :Bool;
+}
+
+struct PromiseRequest {
+  dataCentre @0 :Text;
+  instance @1 :Text;
+  incarnation @2 :UInt64;
+  session @3 :UInt64;
+  generation @4 :UInt64;
+  question @5 :UInt64;
+}
+
+struct Promise {
+  instance @0 :Text;
+  incarnation @1 :UInt64;
+  session @2 :UInt64;
+  generation @3 :UInt64;
+  question @4 :UInt64;
+}
+
+struct PromiseRelease {
+  instance @0 :Text;
+  incarnation @1 :UInt64;
+  session @2 :UInt64;
+}
+
+struct RelayRequest {
+  instance @0 :Text;
+  position @1 :UInt64;
+}
+
+struct RelayedObject {
+  kind @0 :Text;
+  name @1 :Text;
+  version @2 :UInt64;
+  value @3 :Data;
+  renewal @4 :Bool;
+}
+
+struct RelayedState {
+  instance @0 :Text;
+  since @1 :UInt64;
+  position @2 :UInt64;
+  ageMs @3 :UInt32;
+  objects @4 :List(RelayedObject);
+}
+
 struct Frame {
   union {
     hello @0 :Hello;
@@ -88,5 +140,11 @@
     answerFailed @8 :Failed;
     credit @9 :Credit;
     heartbeat @10 :Heartbeat;
+    renewalRequest @11 :RenewalRequest;
+    promiseRequest @12 :PromiseRequest;
+    promise @13 :Promise;
+    promiseRelease @14 :PromiseRelease;
+    relayRequest @15 :RelayRequest;
+    relayedState @16 :RelayedState;
   }
 }
--- a/dragonflyshelf/codec/peer.py
+++ b/dragonflyshelf/codec/peer.py
@@ -16,10 +16,15 @@
 from typing import Any, Final
 
 import capnp
+import msgspec
 
+from dragonflyshelf.codec import objects
 from dragonflyshelf.core import errors
+from dragonflyshelf.core import ids
+from dragonflyshelf.core.membership import messages as leases
 from dragonflyshelf.core import messages
 from dragonflyshelf.core.peers import messages as peers
+from dragonflyshelf.core.platform import relay
 from dragonflyshelf.core import states
 
 Encoder = abc.Callable[[Any], Any]
@@ -43,6 +48,12 @@
     "heartbeat": peers.Heartbeat,
     "hello": peers.Hello,
     "open": peers.Open,
+    "promise": leases.Promise,
+    "promiseRelease": leases.PromiseRelease,
+    "promiseRequest": leases.PromiseRequest,
+    "relayRequest": relay.RelayRequest,
+    "relayedState": relay.RelayedState,
+    "renewalRequest": leases.RenewalRequest,
 }
 MEMBERS_BY_TYPE: Final = {
     kind: member for member, kind in TYPES_BY_MEMBER.items()
@@ -86,6 +97,31 @@
     )
 
 
+def _relayed_to_struct(relayed: relay.RelayedObject) -> dict[str, Any]:
+    value = None
+    if relayed.value is not None:
+        value = objects.to_plain(relayed.value)
+    return {
+        "kind": relayed.kind.value,
+        "name": relayed.name,
+        "version": relayed.version,
+        "value": msgspec.json.encode(value),
+        "renewal": relayed.renewal,
+    }
+
+
+def _relayed_from_struct(reader: Any) -> relay.RelayedObject:
+    kind = states.ObjectKind(reader.kind)
+    plain = msgspec.json.decode(reader.value)
+    return relay.RelayedObject(
+        kind=kind,
+        name=ids.ObjectName(reader.name),
+        version=ids.Version(reader.version),
+        value=None if plain is None else objects.from_plain(kind, plain),
+        renewal=reader.renewal,
+    )
+
+
 def _converters(kind: Any) -> tuple[Encoder, Encoder]:
     """Return the functions to and from the struct's field value."""
     kind = _plain_type(kind)
@@ -97,6 +133,8 @@
         )
     if kind is errors.RouterError:
         return _error_to_struct, _error_from_struct
+    if kind is relay.RelayedObject:
+        return _relayed_to_struct, _relayed_from_struct
     if dataclasses.is_dataclass(kind):
         return _dataclass_converters(kind)
     if isinstance(kind, type) and issubclass(kind, enum.Enum):
--- a/dragonflyshelf/core/configuration/view.py
+++ b/dragonflyshelf/core/configuration/view.py
@@ -67,6 +67,10 @@
             return None
         return known
 
+    def known(self) -> list[tuple[messages.ObjectKey, Known]]:
+        """Return every object, deleted ones with the value None."""
+        return list(self._known_by_key.items())
+
     def version_of(self, kind: states.ObjectKind, name: str) -> ids.Version:
         """Return the version to expect in an update; 0 for none."""
         known = self.get(kind, name)
--- /dev/null
+++ b/dragonflyshelf/core/control/__init__.py
@@ -0,0 +1,1 @@
+"""Membership, ownership and the state of the platform, as one part."""
--- a/dragonflyshelf/core/errors.py
+++ b/dragonflyshelf/core/errors.py
@@ -169,6 +169,11 @@
     """The watch lost its place; the objects must be listed again."""
 
 
+@error_code("DS203", 429, states.Step.PLATFORM)
+class CallBudgetExceeded(RouterError):
+    """The calls allowed to this instance each second are used up."""
+
+
 @error_code("DS300", 400, states.Step.SETTINGS)
 class BadSettings(RouterError):
     """The settings file has mistakes."""
--- a/dragonflyshelf/core/ownership/grants.py
+++ b/dragonflyshelf/core/ownership/grants.py
@@ -1,10 +1,12 @@
 """Which grants this instance gives to the upstreams that it leads."""
 
 from dragonflyshelf.core.configuration import view
+from dragonflyshelf.core.dispatch import fences
 from dragonflyshelf.core import ids
-from dragonflyshelf.core.membership import objects as membership
+from dragonflyshelf.core.ownership import leading
 from dragonflyshelf.core.ownership import messages
 from dragonflyshelf.core.ownership import objects
+from dragonflyshelf.core.ownership import releases
 from dragonflyshelf.core import settings
 from dragonflyshelf.core import states
 
@@ -12,41 +14,45 @@
 class GrantCoordinator:
     """Renews grants while the own lease runs.
 
-    A grant never outlives the lease of its giver.
+    A grant never outlives the lease of its giver, and leaves out the
+    shards that are sealed.
     """
 
     def __init__(
         self,
         config: settings.Settings,
-        own: membership.Member,
+        led: leading.LedUpstreams,
+        released: releases.ShardReleases,
         shared_view: view.ObjectView,
     ) -> None:
         """Create the coordinator; it has given nothing yet."""
         self._config = config.ownership
-        self._own = own
+        self._led = led
+        self._releases = released
         self._view = shared_view
-        self._next_round = ids.Instant(0.0)
 
     def handle_tick(
         self, lease_until: ids.Instant, now: ids.Instant
     ) -> list[messages.SendGrant]:
         """Return the grants that are due."""
         ttl = min(self._config.grant_ttl, lease_until - now)
-        if ttl <= 0 or now < self._next_round:
+        if ttl <= 0:
             return []
-        self._next_round = ids.Instant(now + self._config.grant_interval)
         return [
             grant
             for segment in self._view.values(states.ObjectKind.SEGMENT)
             for leader in segment.leaders
-            if leader.instance == self._own.instance
-            and leader.incarnation == self._own.incarnation
+            if self._is_due(leader, now)
             for grant in self._grant(segment, leader, ttl)
         ]
 
-    def on_view(self) -> None:
-        """Give grants at once after a change."""
-        self._next_round = ids.Instant(0.0)
+    def _is_due(self, leader: objects.Leadership, now: ids.Instant) -> bool:
+        led = self._led.led_by_upstream.get(leader.upstream)
+        if led is None or led.term != leader.term:
+            return False
+        if self._view.get(states.ObjectKind.UPSTREAM, leader.upstream) is None:
+            return False
+        return self._led.due(leader.upstream, now)
 
     def _grant(
         self,
@@ -55,12 +61,16 @@
         ttl: float,
     ) -> list[messages.SendGrant]:
         known = self._view.get(states.ObjectKind.UPSTREAM, leader.upstream)
-        if known is None or not known.value.fenced:
+        if known is None:
             return []
         shards = tuple(
             messages.ShardEpoch(shard=one.shard, epoch=one.epoch)
             for one in segment.assignments
             if one.upstream == leader.upstream
+            and fences.ShardKey(
+                service=segment.service, shard=one.shard, epoch=one.epoch
+            )
+            not in self._releases
         )
         return [
             messages.SendGrant(
--- a/dragonflyshelf/core/ownership/messages.py
+++ b/dragonflyshelf/core/ownership/messages.py
@@ -31,7 +31,9 @@
     """Event: an upstream answered a grant, or did not.
 
     ``term`` is the highest that the upstream has seen; ``sent_at`` is
-    the instant at which the grant was sent.
+    the instant at which the grant was sent. ``reached`` tells that the
+    upstream answered at all, as one that checks no grants may do, and
+    ``undelivered`` that the grant surely did not arrive.
     """
 
     upstream: ids.UpstreamId
@@ -40,3 +42,36 @@
     term: ids.Term
     sent_at: ids.Instant
     error: str = ""
+    given_term: ids.Term = ids.Term(0)
+    reached: bool = False
+    undelivered: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class SendRelease:
+    """Effect: tell an upstream that it owns some shards no longer."""
+
+    upstream: ids.UpstreamId
+    service: ids.ServiceName
+    host: str
+    port: int
+    term: ids.Term
+    shards: tuple[ShardEpoch, ...]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ReleaseAnswered:
+    """Event: an upstream acknowledged a release, or did not."""
+
+    upstream: ids.UpstreamId
+    service: ids.ServiceName
+    accepted: bool
+    shards: tuple[ShardEpoch, ...]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class UpstreamStarted:
+    """Effect: an upstream runs under a start id not seen before."""
+
+    upstream: ids.UpstreamId
+    start_id: ids.StartId
--- a/dragonflyshelf/core/ownership/objects.py
+++ b/dragonflyshelf/core/ownership/objects.py
@@ -8,12 +8,18 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Leadership:
-    """The instance that alone sends to an upstream."""
+    """The instance that alone sends to an upstream.
+
+    ``next_instance`` names the successor to which the leader is to hand
+    over.
+    """
 
     upstream: ids.UpstreamId
     instance: ids.InstanceId
     incarnation: ids.Incarnation
     term: ids.Term
+    upstream_state: states.UpstreamState = states.UpstreamState.UP
+    next_instance: ids.InstanceId = ids.InstanceId("")
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/dragonflyshelf/core/platform/messages.py
+++ b/dragonflyshelf/core/platform/messages.py
@@ -56,6 +56,15 @@
     objects: tuple[ObjectChanged, ...]
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ChangesWatched:
+    """Event: all changes after one store version, up to another."""
+
+    since: ids.Version
+    position: ids.Version
+    events: tuple[ObjectChanged | ObjectDeleted, ...]
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class PlatformReached:
     """Event: a call sent at this instant was answered."""
@@ -72,12 +81,16 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class WriteObject:
-    """Effect: a conditional update; the value None deletes the object."""
+    """Effect: a conditional update; the value None deletes the object.
+
+    An update without an answer is repeated up to ``attempts`` calls.
+    """
 
     key: ObjectKey
     expected: ids.Version
     write_id: ids.WriteId
     value: Value | None
+    attempts: int = 4
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -86,6 +99,7 @@
 
     ``version`` is the object's present version when it is known, and
     ``sent_at`` the instant at which the first attempt was sent.
+    ``written`` is the value if it is surely the one of that version.
     """
 
     key: ObjectKey
@@ -93,3 +107,4 @@
     result: states.WriteResult
     version: ids.Version
     sent_at: ids.Instant
+    written: Value | None = None
--- a/dragonflyshelf/core/settings.py
+++ b/dragonflyshelf/core/settings.py
@@ -61,6 +61,7 @@
     host: str = "127.0.0.1"
     port: Annotated[int, PORT] = 8090
     call_timeout: Annotated[float, SECONDS] = 1.0
+    watch_interval: Annotated[float, SECONDS] = 0.1
     watch_timeout: Annotated[float, SECONDS] = 20.0
     calls_per_second: Annotated[
         float, ranges.Range(minimum=0.1, maximum=10000)
@@ -72,13 +73,15 @@
     """Section ``membership``: leases and heartbeats."""
 
     lease: Annotated[float, SECONDS] = 1.5
-    renew_interval: Annotated[float, SECONDS] = 0.4
+    renew_interval: Annotated[float, SECONDS] = 0.3
     heartbeat_interval: Annotated[float, SECONDS] = 0.25
     clock_rate_margin: Annotated[
         float, ranges.Range(minimum=0, maximum=0.2)
     ] = 0.01
     promise: Annotated[float, SECONDS] = 300.0
-    stagger: Annotated[float, SECONDS] = 0.2
+    removers: Annotated[int, ranges.Range(minimum=1, maximum=64)] = 7
+    stagger: Annotated[float, SECONDS] = 0.15
+    writer_silence: Annotated[float, SECONDS] = 0.5
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -86,8 +89,11 @@
     """Section ``ownership``: shards, grants and moves."""
 
     shards: Annotated[int, ranges.Range(minimum=1, maximum=16384)] = 128
-    grant_ttl: Annotated[float, SECONDS] = 1.0
-    grant_interval: Annotated[float, SECONDS] = 0.3
+    grant_ttl: Annotated[float, SECONDS] = 0.8
+    grant_interval: Annotated[float, SECONDS] = 0.2
+    upstream_silence: Annotated[float, SECONDS] = 0.7
+    load_bound: Annotated[float, ranges.Range(minimum=0.01, maximum=10)] = 0.15
+    moves_at_once: Annotated[int, ranges.Range(minimum=1, maximum=4096)] = 16
     churn_per_minute: Annotated[
         float, ranges.Range(minimum=0.001, maximum=1)
     ] = 0.2
--- a/dragonflyshelf/core/states.py
+++ b/dragonflyshelf/core/states.py
@@ -82,6 +82,13 @@
     SHUTDOWN = "shutdown"
 
 
+class UpstreamState(enum.Enum):
+    """Whether the leader of an upstream reaches it."""
+
+    LOST = "lost"
+    UP = "up"
+
+
 class WriteResult(enum.Enum):
     """What became of a conditional update."""
 
--- a/dragonflyshelf/runtime/grants/coordinator.py
+++ b/dragonflyshelf/runtime/grants/coordinator.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from absl import logging
 import h11
 import msgspec
 
@@ -13,6 +14,8 @@
 from dragonflyshelf.runtime import inbox
 from dragonflyshelf.runtime import task
 
+_LOGGER = logging.get_absl_logger()
+
 STATUS_OK = 200
 
 
@@ -32,6 +35,7 @@
         self._running_by_upstream: dict[ids.UpstreamId, asyncio.Task[None]] = (
             {}
         )
+        self._releasing: set[asyncio.Task[None]] = set()
 
     @task.handles(messages.SendGrant)
     def _on_send(self, message: messages.SendGrant) -> None:
@@ -45,11 +49,45 @@
 
     def on_end(self) -> None:
         """Close all connections."""
-        for running in self._running_by_upstream.values():
+        for running in (
+            *self._running_by_upstream.values(),
+            *self._releasing,
+        ):
             running.cancel()
         for client in self._clients_by_upstream.values():
             client.close()
 
+    @task.handles(messages.SendRelease)
+    def _on_release(self, message: messages.SendRelease) -> None:
+        running = asyncio.create_task(self._async_release(message))
+        self._releasing.add(running)
+        running.add_done_callback(self._releasing.discard)
+
+    async def _async_release(self, release: messages.SendRelease) -> None:
+        body = codec.encode_release(release, self._config.instance.name)
+        accepted = False
+        try:
+            async with asyncio.timeout(self._config.ownership.grant_ttl):
+                async with http_client.async_open(
+                    release.host, release.port
+                ) as client:
+                    answer = await client.async_call(
+                        "POST", codec.PATH_RELEASE, body
+                    )
+            accepted = answer.status == STATUS_OK
+        except (OSError, TimeoutError, h11.ProtocolError) as error:
+            _LOGGER.warning(
+                "release by %s has no answer: %s", release.upstream, error
+            )
+        self._control.post(
+            messages.ReleaseAnswered(
+                upstream=release.upstream,
+                service=release.service,
+                accepted=accepted,
+                shards=release.shards,
+            )
+        )
+
     async def _async_send(self, grant: messages.SendGrant) -> None:
         client = self._clients_by_upstream.setdefault(
             grant.upstream, http_client.HttpClient(grant.host, grant.port)
@@ -61,36 +99,43 @@
                 answer = await client.async_call(
                     "POST", codec.PATH_GRANTS, body
                 )
-            answered = codec.decode_answer(answer.body)
-        except (
-            OSError,
-            TimeoutError,
-            h11.ProtocolError,
-            msgspec.DecodeError,
-        ) as error:
-            text = str(error) or type(error).__name__
-            self._report(grant, sent_at, False, None, text)
+        except (OSError, TimeoutError, h11.ProtocolError) as error:
+            self._control.post(
+                messages.GrantAnswered(
+                    upstream=grant.upstream,
+                    accepted=False,
+                    start_id=ids.StartId(""),
+                    term=ids.Term(0),
+                    sent_at=sent_at,
+                    error=str(error) or type(error).__name__,
+                    given_term=grant.term,
+                    undelivered=isinstance(error, ConnectionRefusedError),
+                )
+            )
             return
-        accepted = answer.status == STATUS_OK
-        self._report(grant, sent_at, accepted, answered, "")
+        self._report(grant, sent_at, answer)
 
     def _report(
         self,
         grant: messages.SendGrant,
         sent_at: ids.Instant,
-        accepted: bool,
-        answered: codec.GrantAnswer | None,
-        error: str,
+        answer: http_client.HttpAnswer,
     ) -> None:
-        start_id = answered.start_id if answered else ids.StartId("")
-        term = answered.term if answered else ids.Term(0)
+        start_id, term, error = ids.StartId(""), ids.Term(0), ""
+        try:
+            answered = codec.decode_answer(answer.body)
+            start_id, term = answered.start_id, answered.term
+        except msgspec.DecodeError as failure:
+            error = str(failure)
         self._control.post(
             messages.GrantAnswered(
                 upstream=grant.upstream,
-                accepted=accepted,
+                accepted=answer.status == STATUS_OK,
                 start_id=start_id,
                 term=term,
                 sent_at=sent_at,
                 error=error,
+                given_term=grant.term,
+                reached=True,
             )
         )
--- a/dragonflyshelf/runtime/platform/coordinator.py
+++ b/dragonflyshelf/runtime/platform/coordinator.py
@@ -10,7 +10,9 @@
 from dragonflyshelf.codec import objects
 from dragonflyshelf.core import errors
 from dragonflyshelf.core import ids
+from dragonflyshelf.core.platform import budget
 from dragonflyshelf.core.platform import messages
+from dragonflyshelf.core.platform import relay
 from dragonflyshelf.core.platform import store
 from dragonflyshelf.core import settings
 from dragonflyshelf.core import states
@@ -24,8 +26,9 @@
 
 BACKOFF_FIRST = 0.1
 BACKOFF_LONGEST = 2.0
-WRITE_ATTEMPTS = 4
+WATCH_BUDGET_PART = 0.5
 WRITERS = 4
+WRITE_BUDGET_PART = 0.5
 WATCHED_KINDS = tuple(states.ObjectKind)
 
 
@@ -62,40 +65,62 @@
         return wait * random.uniform(0.5, 1.0)
 
 
-class PlatformWatchTask:
+class PlatformWatchTask(task.Task):
     """Lists and watches objects and posts events to one inbox."""
 
     def __init__(
         self, config: settings.PlatformSettings, control: inbox.Inbox
     ) -> None:
-        """Create the task."""
+        """Create the task; it watches once it is told to."""
+        super().__init__("platform-watch")
         self._config = config
         self._control = control
         self._kinds = frozenset(WATCHED_KINDS)
         self._client = kinds.PLATFORM_KINDS.get(config.kind)(config)
         self._backoff = Backoff()
+        self._budget = budget.CallBudget(
+            config.calls_per_second * WATCH_BUDGET_PART
+        )
+        self._watching: asyncio.Task[None] | None = None
+
+    @task.handles(relay.SwitchWatch)
+    def _on_switch(self, message: relay.SwitchWatch) -> None:
+        if self._watching is not None:
+            self._watching.cancel()
+            self._watching = None
+        if message.enabled:
+            self._watching = asyncio.create_task(
+                self._async_watch_on(message.since)
+            )
 
-    async def async_run(self) -> None:
-        """List, then watch; list again when the place is lost."""
-        try:
-            while True:
-                await self._async_list_and_watch()
-        finally:
-            self._client.close()
-
-    async def _async_list_and_watch(self) -> None:
-        try:
-            version = await self._async_list()
-            while True:
-                version = await self._async_watch(version)
-        except errors.WatchLost:
-            return
-        except errors.RouterError as error:
-            self._control.post(messages.PlatformLost(error=error))
-            await asyncio.sleep(self._backoff.next_wait())
+    def on_end(self) -> None:
+        """Stop watching and close the connection."""
+        if self._watching is not None:
+            self._watching.cancel()
+        self._client.close()
+
+    async def _async_watch_on(self, since: ids.Version) -> None:
+        """List if needed, then watch; list again when the place is lost."""
+        placed = since > 0
+        while True:
+            try:
+                if not placed:
+                    since = await self._async_list()
+                    placed = True
+                since = await self._async_watch(since)
+            except errors.WatchLost:
+                placed = False
+            except errors.RouterError as error:
+                self._control.post(messages.PlatformLost(error=error))
+                await asyncio.sleep(self._backoff.next_wait())
+
+    async def _async_spend(self) -> None:
+        while not self._budget.spend(self.now):
+            await asyncio.sleep(self._budget.wait_for(self.now))
 
     async def _async_list(self) -> ids.Version:
-        sent_at = self._now()
+        await self._async_spend()
+        sent_at = self.now
         version, stored = await self._client.async_list(self._kinds)
         events = tuple(typed_event(one) for one in stored)
         self._backoff.reset()
@@ -108,18 +133,24 @@
         return version
 
     async def _async_watch(self, since: ids.Version) -> ids.Version:
-        sent_at = self._now()
+        await self._async_spend()
+        sent_at = self.now
         version, stored = await self._client.async_changes(
             self._kinds, since, self._config.watch_timeout
         )
+        self._backoff.reset()
+        self._control.post(
+            messages.ChangesWatched(
+                since=since,
+                position=version,
+                events=tuple(typed_event(one) for one in stored),
+            )
+        )
         self._control.post(messages.PlatformReached(sent_at=sent_at))
-        for one in stored:
-            self._control.post(typed_event(one))
+        if stored:
+            await asyncio.sleep(self._config.watch_interval)
         return version
 
-    def _now(self) -> ids.Instant:
-        return ids.Instant(asyncio.get_running_loop().time())
-
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class WriteRequest:
@@ -148,12 +179,31 @@
         self._clients = [factory(config) for _ in range(WRITERS)]
         self._free = list(range(WRITERS))
         self._running: set[asyncio.Task[None]] = set()
+        self._budget = budget.CallBudget(
+            config.calls_per_second * WRITE_BUDGET_PART
+        )
 
     @task.handles(WriteRequest)
     def _on_write(self, message: WriteRequest) -> None:
+        if not self._budget.spend(self.now):
+            self._refuse(message)
+            return
         self._waiting.append(message)
         self._dispatch()
 
+    def _refuse(self, message: WriteRequest) -> None:
+        error = errors.CallBudgetExceeded("the call budget is used up")
+        _LOGGER.warning("update of %s refused: %s", message.write.key, error)
+        message.reply_to.post(
+            messages.WriteFinished(
+                key=message.write.key,
+                write_id=message.write.write_id,
+                result=states.WriteResult.REFUSED,
+                version=ids.Version(0),
+                sent_at=self.now,
+            )
+        )
+
     @task.handles(WriterFree)
     def _on_free(self, message: WriterFree) -> None:
         self._free.append(message.writer)
@@ -182,6 +232,9 @@
             )
         finally:
             self.inbox.post(WriterFree(writer=writer))
+        written = None
+        if result is states.WriteResult.DONE and version > 0:
+            written = request.write.value
         request.reply_to.post(
             messages.WriteFinished(
                 key=request.write.key,
@@ -189,6 +242,7 @@
                 result=result,
                 version=version,
                 sent_at=sent_at,
+                written=written,
             )
         )
 
@@ -206,7 +260,7 @@
     plain = None if write.value is None else objects.to_plain(write.value)
     backoff = Backoff()
     lost = False
-    for _ in range(WRITE_ATTEMPTS):
+    for left in reversed(range(write.attempts)):
         try:
             version = await client.async_put(
                 kind, name, write.expected, write.write_id, plain
@@ -220,7 +274,8 @@
         except errors.PlatformUnavailable as error:
             _LOGGER.debug("update of %s has no answer: %s", name, error)
             lost = True
-        await asyncio.sleep(backoff.next_wait())
+        if left:
+            await asyncio.sleep(backoff.next_wait())
     return states.WriteResult.UNKNOWN, ids.Version(0)
 
 
@@ -232,8 +287,10 @@
         if lost and write.value is None:
             return states.WriteResult.DONE, ids.Version(0)
         return states.WriteResult.CONFLICT, ids.Version(0)
-    if write.write_id in present.write_ids:
+    if write.write_id == present.write_ids[0]:
         return states.WriteResult.DONE, present.version
+    if write.write_id in present.write_ids:
+        return states.WriteResult.DONE, ids.Version(0)
     if lost and len(present.write_ids) >= store.KEPT_WRITE_IDS:
         return states.WriteResult.UNKNOWN, present.version
     return states.WriteResult.CONFLICT, present.version
--- a/dragonflyshelf/runtime/server.py
+++ b/dragonflyshelf/runtime/server.py
@@ -62,6 +62,8 @@
         control_task = control.ControlTask(
             config, own, router_task.inbox, writes.inbox
         )
+        watch = platform.PlatformWatchTask(config.platform, control_task.inbox)
+        control_task.watch_inbox = watch.inbox
         ready.append(control_task)
         peers_task = peers.PeersTask(
             config,
@@ -80,8 +82,8 @@
         )
         await peers_task.async_listen(host, config.listen.peer_port)
         await callers.async_listen(host, config.listen.caller_port)
-        watch = platform.PlatformWatchTask(config.platform, control_task.inbox)
         for one in (
+            watch,
             writes,
             grants_task,
             router_task,
@@ -90,8 +92,6 @@
             callers,
         ):
             await stack.enter_async_context(one.async_running())
-        watching = asyncio.create_task(watch.async_run())
-        stack.callback(watching.cancel)
         _LOGGER.info("instance serves on port %d", callers.port)
         yield Server(
             callers=callers,
