Measure what one instance carries on one core

The profile shows that with a hop nearly every request opens a connection. Also: the Makefile gave the runner lengths in the wrong case.

--- a/Makefile
+++ b/Makefile
@@ -28,10 +28,10 @@
 	$(VENV)/bin/python -m bench.demo
 
 bench: $(STAMP)
-	$(VENV)/bin/python -m bench.run --length short --seed $(SEED)
+	$(VENV)/bin/python -m bench.run --length SHORT --seed $(SEED)
 
 bench-full: $(STAMP)
-	$(VENV)/bin/python -m bench.run --length full --seed $(SEED)
+	$(VENV)/bin/python -m bench.run --length FULL --seed $(SEED)
 
 soak: $(STAMP)
 	$(VENV)/bin/python -m bench.soak --seconds $(SECONDS) --seed $(SEED)
--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -53,7 +53,11 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ClusterDescription:
-    """What an experiment runs."""
+    """What an experiment runs.
+
+    ``code_folder`` is the checkout whose instances run, by default the
+    present one; ``profile_folder`` is where instances leave a profile.
+    """
 
     data_centres: tuple[str, ...] = ("a", "b", "c")
     instances: int = 8
@@ -64,6 +68,8 @@
     unfenced_services: tuple[str, ...] = ()
     extra_settings: str = ""
     seed: int = 0
+    code_folder: str = ""
+    profile_folder: str = ""
 
 
 def free_ports(count: int) -> list[int]:
@@ -157,7 +163,14 @@
         """Write the settings of an instance and start it."""
         path = self.folder / f"{instance.name}.ini"
         path.write_text(self._settings(instance), encoding="utf-8")
-        self._start(instance.name, ["dragonflyshelf", "serve", str(path)])
+        arguments = ["dragonflyshelf", "serve", str(path)]
+        profiles = self.description.profile_folder
+        if profiles:
+            out = str(pathlib.Path(profiles) / f"{instance.name}.prof")
+            arguments = ["cProfile", "-o", out, "-m", *arguments]
+        self._start(
+            instance.name, arguments, self.description.code_folder or None
+        )
 
     def start_all(self) -> None:
         """Start the stand-ins and all instances."""
@@ -233,11 +246,16 @@
             f"{self.description.extra_settings}\n"
         )
 
-    def _start(self, name: str, arguments: list[str]) -> None:
+    def _start(
+        self, name: str, arguments: list[str], folder: str | None = None
+    ) -> None:
         log = (self.folder / f"{name}.log").open("ab")
         with log:
             self.processes_by_name[name] = subprocess.Popen(
-                [sys.executable, "-m", *arguments], stdout=log, stderr=log
+                [sys.executable, "-m", *arguments],
+                stdout=log,
+                stderr=log,
+                cwd=folder,
             )
 
 
