--- a/dragonflyshelf/runtime/callers/connection.py
+++ b/dragonflyshelf/runtime/callers/connection.py
@@ -126,7 +126,7 @@
         self._unacknowledged = 0
         for data in self._body:
             self._send_body(data)
-        if self._body_complete:
+        if self._body_complete and self._has_body:
             self._target.post(messages.BodyEnd(exchange=self._exchange))
 
     @task.handles(messages.Credit)
@@ -250,11 +250,15 @@
 
     def _on_body_end(self) -> None:
         self._body_complete = True
-        if self._target is not None and self._exchange:
+        if self._target is not None and self._has_body:
             self._target.post(messages.BodyEnd(exchange=self._exchange))
         if self._answered:
             self._finish_cycle()
 
+    @property
+    def _has_body(self) -> bool:
+        return self._head is not None and self._head.has_body
+
     def _replayable(self) -> bool:
         return self._body_size <= self._config.replay_bytes
 
--- a/dragonflyshelf/runtime/upstreams/connection.py
+++ b/dragonflyshelf/runtime/upstreams/connection.py
@@ -198,6 +198,8 @@
                 headers=headers,
             )
         )
+        if not attempt.head.has_body:
+            self._write(h11.EndOfMessage())
 
     def _own_headers(
         self, attempt: runtime_messages.StartExchange
