Stamp events and frames with a hybrid logical clock

Cause: events of several instances had no common order, so an effect could stand before its cause when wall clocks differ. Each process has one clock; an event is stamped when it is posted, and a frame between instances carries a stamp in its prefix that the receiver's clock then exceeds. The time line is a ring of bounded length that counts by kind what it drops. Causes that travel through the platform are not covered yet.

--- a/dragonflyshelf/core/settings.py
+++ b/dragonflyshelf/core/settings.py
@@ -151,6 +151,13 @@
     deadline: Annotated[float, SECONDS] = 20.0
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TimelineSettings:
+    """Section ``timeline``: what is kept of past events."""
+
+    entries: Annotated[int, ranges.Range(minimum=100, maximum=1000000)] = 20000
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Settings:
     """All settings of one process."""
@@ -163,6 +170,7 @@
     platform: PlatformSettings = PlatformSettings()
     requests: RequestSettings = RequestSettings()
     shutdown: ShutdownSettings = ShutdownSettings()
+    timeline: TimelineSettings = TimelineSettings()
     upstreams: UpstreamSettings = UpstreamSettings()
     operators: dict[str, str] = dataclasses.field(default_factory=dict)
     """Section ``operators``: name to ``role:digest`` of the token."""
--- a/dragonflyshelf/runtime/peers/link.py
+++ b/dragonflyshelf/runtime/peers/link.py
@@ -24,6 +24,7 @@
 from dragonflyshelf.runtime import messages as runtime_messages
 from dragonflyshelf.runtime import sockets
 from dragonflyshelf.runtime import task
+from dragonflyshelf.runtime.timeline import clock
 
 _LOGGER = logging.get_absl_logger()
 
@@ -98,6 +99,7 @@
         self._streams_by_exchange: dict[ids.ExchangeId, int] = {}
         self._exchanges_by_stream: dict[int, ids.ExchangeId] = {}
         self._next_stream = 1 if dialled else 2
+        self.clock = clock.ProcessClock()
         self.peer = ids.InstanceId("")
 
     @task.handles(sockets.SocketOpened)
@@ -112,7 +114,9 @@
 
     @task.handles(sockets.DataReceived)
     def _on_data(self, message: sockets.DataReceived) -> None:
-        for one in self._decoder.receive(message.data):
+        found = self._decoder.receive(message.data)
+        self.clock.observe(self._decoder.stamp)
+        for one in found:
             self._on_frame(one)
 
     @task.handles(sockets.EndReceived)
@@ -229,7 +233,7 @@
 
     def _send(self, message: Any) -> None:
         if self._transport is not None:
-            self._transport.write(codec.encode(message))
+            self._transport.write(codec.encode(message, self.clock.tick()))
 
     def _send_on(self, message: Any) -> None:
         stream = self._streams_by_exchange.get(message.exchange)
