--- a/dragonflyshelf/runtime/peers/link.py
+++ b/dragonflyshelf/runtime/peers/link.py
@@ -163,7 +163,9 @@
         )
         message.origin.post(
             runtime_messages.Attached(
-                exchange=message.exchange, target=self.inbox
+                exchange=message.exchange,
+                target=self.inbox,
+                priority=message.admitted.priority,
             )
         )
 
