Count rates strictly over all instances

Cause: static shares refuse uneven load and one counter per instance admits a multiple of the rate. One home for each workspace now accrues its tokens and lends time-limited batches. A home opens only once every member with a view at least as new has accepted its claim and said what it may still spend; without a lease nothing is spent or lent.

--- a/dragonflyshelf/codec/peer.capnp
+++ b/dragonflyshelf/codec/peer.capnp
@@ -127,6 +127,51 @@
   objects @4 :List(RelayedObject);
 }
 
+struct BatchLeft {
+  batch @0 :UInt64;
+  left @1 :UInt64;
+}
+
+struct Borrow {
+  workspace @0 :Text;
+  ask @1 :UInt64;
+  needed @2 :UInt32;
+  standing @3 :UInt32;
+  claim @4 :UInt64;
+  closed @5 :List(BatchLeft);
+}
+
+struct Lend {
+  workspace @0 :Text;
+  ask @1 :UInt64;
+  batch @2 :UInt64;
+  tokens @3 :UInt64;
+  wait @4 :Float64;
+  claim @5 :UInt64;
+}
+
+struct GiveBack {
+  workspace @0 :Text;
+  claim @1 :UInt64;
+  closed @2 :List(BatchLeft);
+}
+
+struct ClaimHomes {
+  claim @0 :UInt64;
+  version @1 :UInt64;
+  workspaces @2 :List(Text);
+}
+
+struct HeldTokens {
+  workspace @0 :Text;
+  tokens @1 :UInt64;
+}
+
+struct HomesClaimed {
+  claim @0 :UInt64;
+  held @1 :List(HeldTokens);
+}
+
 struct Frame {
   union {
     hello @0 :Hello;
@@ -146,5 +191,10 @@
     promiseRelease @14 :PromiseRelease;
     relayRequest @15 :RelayRequest;
     relayedState @16 :RelayedState;
+    borrow @17 :Borrow;
+    lend @18 :Lend;
+    giveBack @19 :GiveBack;
+    claimHomes @20 :ClaimHomes;
+    homesClaimed @21 :HomesClaimed;
   }
 }
--- a/dragonflyshelf/core/dispatch/coordinator.py
+++ b/dragonflyshelf/core/dispatch/coordinator.py
@@ -10,6 +10,8 @@
 from dragonflyshelf.core.dispatch import routes
 from dragonflyshelf.core import errors
 from dragonflyshelf.core import ids
+from dragonflyshelf.core.limits import home_batches  # noqa: F401
+from dragonflyshelf.core.limits import messages as limits
 from dragonflyshelf.core.limits import policies
 from dragonflyshelf.core.limits import static_share  # noqa: F401
 from dragonflyshelf.core import messages
@@ -30,6 +32,16 @@
 )
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Pending:
+    """A request of an own caller that waits for its token."""
+
+    event: dispatch.RequestArrived
+    service: ids.ServiceName
+    shard: ids.ShardId
+    workspace: ids.WorkspaceId
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Exchange:
     """A request that this instance has accepted and not finished."""
@@ -51,29 +63,66 @@
         self._instance = config.instance.name
         self._incarnation = incarnation
         self.view = view.RoutingView()
-        self.limits = policies.LIMIT_POLICIES.get("static_share")()
+        self.limits = policies.LIMIT_POLICIES.get(config.limits.policy)(
+            config, incarnation
+        )
         self.lease_until = ids.Instant(0.0)
         self.fences = fences.ShardFences()
         self.held_by_upstream: dict[
             ids.UpstreamId, dispatch.HeldLeadership
         ] = {}
         self.exchanges_by_id: dict[ids.ExchangeId, Exchange] = {}
+        self.pending_by_id: dict[ids.ExchangeId, Pending] = {}
+
+    @property
+    def wake_at(self) -> ids.Instant:
+        """Return when ``TimePassed`` is wanted."""
+        return self.limits.wake_at
 
     def handle(self, event: dispatch.Event, now: ids.Instant) -> Effects:
         """Take in one event and return what is to be done."""
         return HANDLERS.get(type(event))(self, event, now)
 
-    def on_view(self, objects_view: view.ObjectView) -> None:
+    def on_view(
+        self, objects_view: view.ObjectView, now: ids.Instant
+    ) -> Effects:
         """Take over a changed view."""
         self.view.rebuild(objects_view)
-        self.limits.set_instances(len(self.view.members))
+        instances = tuple(
+            sorted(
+                one.instance
+                for one in self.view.members
+                if one.instance != self._instance
+                or one.incarnation >= self._incarnation
+            )
+        )
+        event = limits.LimitsChanged(
+            instances=instances,
+            version=self.view.version,
+            workspaces=tuple(self.view.workspaces_by_id.values()),
+        )
+        return self._run_limits(event, now)
 
     @HANDLERS.register(dispatch.LeaseChanged)
     def _on_lease(
         self, event: dispatch.LeaseChanged, now: ids.Instant
     ) -> Effects:
         self.lease_until = event.until
-        return []
+        return self._run_limits(limits.LeaseMoved(until=event.until), now)
+
+    @HANDLERS.register(dispatch.TimePassed)
+    def _on_time(
+        self, event: dispatch.TimePassed, now: ids.Instant
+    ) -> Effects:
+        if now < self.limits.wake_at:
+            return []
+        return self._run_limits(limits.TimePassed(), now)
+
+    @HANDLERS.register(limits.LimitReceived)
+    def _on_limit(
+        self, event: limits.LimitReceived, now: ids.Instant
+    ) -> Effects:
+        return self._run_limits(event, now)
 
     @HANDLERS.register(dispatch.LeadershipsHeld)
     def _on_held(
@@ -100,10 +149,29 @@
         self, event: dispatch.RequestArrived, now: ids.Instant
     ) -> Effects:
         try:
-            admitted = self._admit(event.head, now)
-            return self._start(event, admitted, forwarded=False, now=now)
+            pending, workspace = self._identify(event)
         except errors.RouterError as error:
             return [dispatch.Refuse(exchange=event.exchange, error=error)]
+        self.pending_by_id[event.exchange] = pending
+        ask = limits.AskToken(exchange=event.exchange, workspace=workspace)
+        return self._run_limits(ask, now)
+
+    def _run_limits(self, event: limits.Event, now: ids.Instant) -> Effects:
+        """Let the limits decide and go on with what they decided."""
+        effects: Effects = []
+        for effect in self.limits.handle(event, now):
+            if isinstance(effect, limits.SendLimit):
+                effects.append(effect)
+                continue
+            pending = self.pending_by_id.pop(effect.exchange)
+            if isinstance(effect, limits.TokenRefused):
+                error = self._without_token(effect, now)
+                effects.append(
+                    dispatch.Refuse(exchange=effect.exchange, error=error)
+                )
+                continue
+            effects.extend(self._admit(pending, now))
+        return effects
 
     @HANDLERS.register(dispatch.ForwardArrived)
     def _on_forward(
@@ -133,10 +201,14 @@
     def _on_finished(
         self, event: dispatch.ExchangeFinished, now: ids.Instant
     ) -> Effects:
+        self.pending_by_id.pop(event.exchange, None)
+        forget = limits.ForgetToken(exchange=event.exchange)
+        effects = self._run_limits(forget, now)
         exchange = self.exchanges_by_id.pop(event.exchange, None)
         if exchange is None or not exchange.sent:
-            return []
+            return effects
         return [
+            *effects,
             dispatch.CancelAttempt(exchange=event.exchange),
             *self._end_attempt(exchange),
         ]
@@ -148,28 +220,62 @@
             return [dispatch.ShardQuiet(key=key)]
         return []
 
-    def _admit(
-        self, head: messages.RequestHead, now: ids.Instant
-    ) -> messages.Admitted:
+    def _without_token(
+        self, effect: limits.TokenRefused, now: ids.Instant
+    ) -> errors.RouterError:
+        if now >= self.lease_until:
+            return errors.StaleInstance("this instance has no lease")
+        if effect.wait <= 0:
+            return errors.NoTokens("the home of the tokens does not answer")
+        return errors.RateExceeded(
+            "workspace is over its rate and burst", retry_after=effect.wait
+        )
+
+    def _identify(
+        self, event: dispatch.RequestArrived
+    ) -> tuple[Pending, objects.Workspace]:
+        """Return what the request is for and whose it is."""
+        head = event.head
         name, key = routes.split_target(head.target)
         found = self.view.routes_by_service.get(name)
         if found is None:
             raise errors.NoSuchService(f"no service {name!r}")
         workspace = self._authenticate(head, found.service)
-        wait = self.limits.admit(workspace, now)
-        if wait > 0:
-            raise errors.RateExceeded(
-                "workspace is over its rate and burst", retry_after=wait
-            )
-        shard = routes.shard_of(found.service, key, head.headers)
-        return messages.Admitted(
+        pending = Pending(
+            event=event,
             service=name,
+            shard=routes.shard_of(found.service, key, head.headers),
             workspace=workspace.name,
-            priority=found.service.priority,
-            idempotent=head.method in IDEMPOTENT_METHODS,
-            shard=shard,
-            upstream=self._choose(found, shard, now),
         )
+        return pending, workspace
+
+    def _admit(self, pending: Pending, now: ids.Instant) -> Effects:
+        """Choose an upstream for a request that has its token.
+
+        The caller key is checked again, since it may have been withdrawn
+        while the request waited.
+        """
+        event = pending.event
+        try:
+            if now >= self.lease_until:
+                raise errors.StaleInstance("this instance has no lease")
+            pending, _ = self._identify(event)
+            found = self.view.routes_by_service[pending.service]
+            admitted = messages.Admitted(
+                service=pending.service,
+                workspace=pending.workspace,
+                priority=found.service.priority,
+                idempotent=event.head.method in IDEMPOTENT_METHODS,
+                shard=pending.shard,
+                upstream=self._choose(found, pending.shard, now),
+            )
+            return self._start(event, admitted, forwarded=False, now=now)
+        except errors.RouterError as error:
+            back = limits.ReturnToken(exchange=event.exchange)
+            return [
+                dispatch.Refuse(exchange=event.exchange, error=error),
+                *self._run_limits(back, now),
+            ]
 
     def _authenticate(
         self, head: messages.RequestHead, service: objects.Service
--- a/dragonflyshelf/core/dispatch/messages.py
+++ b/dragonflyshelf/core/dispatch/messages.py
@@ -5,6 +5,7 @@
 from dragonflyshelf.core.dispatch import fences
 from dragonflyshelf.core import errors
 from dragonflyshelf.core import ids
+from dragonflyshelf.core.limits import messages as limits
 from dragonflyshelf.core import messages
 from dragonflyshelf.core.timeline import events
 
@@ -52,6 +53,11 @@
     until: ids.Instant
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class TimePassed:
+    """Event: the instant that ``wake_at`` named has come."""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class HeldLeadership:
     """A leadership that this instance may use from an instant on.
@@ -134,6 +140,7 @@
     | SendUpstream
     | ShardQuiet
     | events.RecordEvent
+    | limits.SendLimit
 )
 Event = (
     AttemptFinished
@@ -143,5 +150,7 @@
     | LeaseChanged
     | RequestArrived
     | SealShard
+    | TimePassed
     | UnsealShard
+    | limits.LimitReceived
 )
--- a/dragonflyshelf/core/ids.py
+++ b/dragonflyshelf/core/ids.py
@@ -5,6 +5,9 @@
 CallerKeyId = NewType("CallerKeyId", str)
 """Public name of a caller key; the key itself is never kept."""
 
+ClaimId = NewType("ClaimId", int)
+"""Number of one claim to be the home of tokens, unique per instance."""
+
 DataCentreId = NewType("DataCentreId", str)
 """Name of a data centre, as operators write it."""
 
@@ -41,9 +44,6 @@
 ShardId = NewType("ShardId", int)
 """Number of a shard within its service, from 0."""
 
-Stamp = NewType("Stamp", int)
-"""Reading of the hybrid logical clock; it orders events of instances."""
-
 StartId = NewType("StartId", str)
 """Identifier that an upstream draws at each start."""
 
--- a/dragonflyshelf/runtime/messages.py
+++ b/dragonflyshelf/runtime/messages.py
@@ -6,7 +6,6 @@
 from dragonflyshelf.core import errors
 from dragonflyshelf.core import ids
 from dragonflyshelf.core import messages
-from dragonflyshelf.core import states
 from dragonflyshelf.runtime import inbox
 
 
@@ -56,7 +55,6 @@
 
     exchange: ids.ExchangeId
     target: inbox.Inbox
-    priority: states.Priority | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/dragonflyshelf/runtime/router/coordinator.py
+++ b/dragonflyshelf/runtime/router/coordinator.py
@@ -1,5 +1,6 @@
 """Task that owns the decisions about requests."""
 
+import asyncio
 from collections import abc
 import dataclasses
 import itertools
@@ -10,6 +11,7 @@
 from dragonflyshelf.core.dispatch import messages as dispatch
 from dragonflyshelf.core import errors
 from dragonflyshelf.core import ids
+from dragonflyshelf.core.limits import messages as limits
 from dragonflyshelf.core import messages
 from dragonflyshelf.core import registry
 from dragonflyshelf.core import settings
@@ -17,9 +19,13 @@
 from dragonflyshelf.runtime import inbox
 from dragonflyshelf.runtime import messages as runtime_messages
 from dragonflyshelf.runtime.peers import coordinator as peers
+from dragonflyshelf.runtime.peers import link
 from dragonflyshelf.runtime import task
 from dragonflyshelf.runtime.upstreams import pool
 
+NEVER = ids.Instant(float("inf"))
+SHORTEST_TIMER = 0.001
+
 Runner = abc.Callable[["RouterTask", object], None]
 
 EFFECTS: registry.Registry[type, Runner] = registry.Registry("router effects")
@@ -56,6 +62,8 @@
             ids.UpstreamId, pool.UpstreamPoolTask
         ] = {}
         self._numbers = itertools.count(1)
+        self._timer: asyncio.TimerHandle | None = None
+        self._timer_at = NEVER
         self.control_inbox: inbox.Inbox | None = None
         self.peers_inbox: inbox.Inbox | None = None
         self.timeline_inbox: inbox.Inbox | None = None
@@ -117,8 +125,9 @@
 
     @task.handles(ViewChanged)
     def _on_view(self, message: ViewChanged) -> None:
-        self._core.on_view(message.view)
+        effects = self._core.on_view(message.view, self.now)
         self._update_pools()
+        self._carry_out(effects)
 
     @task.handles(dispatch.LeaseChanged)
     def _on_lease(self, message: dispatch.LeaseChanged) -> None:
@@ -152,14 +161,45 @@
         return len(self._running_by_exchange)
 
     def on_end(self) -> None:
-        """Stop the pools."""
+        """Stop the pools and the timer."""
+        if self._timer is not None:
+            self._timer.cancel()
         for one in self._pools_by_upstream.values():
             one.stop()
             one.inbox.post(messages.Cancel(exchange=ids.ExchangeId(0)))
 
     def _run(self, event: dispatch.Event) -> None:
-        for effect in self._core.handle(event, self.now):
+        self._carry_out(self._core.handle(event, self.now))
+
+    def _carry_out(self, effects: list[dispatch.Effect]) -> None:
+        for effect in effects:
             EFFECTS.get(type(effect))(self, effect)
+        self._set_timer()
+
+    def _set_timer(self) -> None:
+        """Have one timer for the next instant that the core names."""
+        wake_at = self._core.wake_at
+        if wake_at >= self._timer_at:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer_at = wake_at
+        delay = max(wake_at - self.now, SHORTEST_TIMER)
+        self._timer = self.post_later(delay, dispatch.TimePassed())
+
+    @task.handles(dispatch.TimePassed)
+    def _on_time(self, message: dispatch.TimePassed) -> None:
+        self._timer = None
+        self._timer_at = NEVER
+        self._run(message)
+
+    @task.handles(link.PeerReceived)
+    def _on_peer(self, message: link.PeerReceived) -> None:
+        self._run(
+            limits.LimitReceived(
+                sender=message.sender, message=message.message
+            )
+        )
 
     def _update_pools(self) -> None:
         upstreams = self._core.view.upstreams_by_id
@@ -245,6 +285,15 @@
         if self.control_inbox is not None:
             self.control_inbox.post(effect)
 
+    @EFFECTS.register(limits.SendLimit)
+    def _send_limit(self, effect: limits.SendLimit) -> None:
+        if self.peers_inbox is not None:
+            self.peers_inbox.post(
+                peers.SendToPeer(
+                    instance=effect.instance, message=effect.message
+                )
+            )
+
     @EFFECTS.register(events.RecordEvent)
     def _record(self, effect: events.RecordEvent) -> None:
         if self.timeline_inbox is not None:
--- a/dragonflyshelf/runtime/server.py
+++ b/dragonflyshelf/runtime/server.py
@@ -6,10 +6,12 @@
 import dataclasses
 import signal
 import time
+import typing
 
 from absl import logging
 
 from dragonflyshelf.core import ids
+from dragonflyshelf.core.limits import messages as limits
 from dragonflyshelf.core.membership import objects
 from dragonflyshelf.core import settings
 from dragonflyshelf.runtime.callers import listener
@@ -19,8 +21,6 @@
 from dragonflyshelf.runtime.peers import coordinator as peers
 from dragonflyshelf.runtime.platform import coordinator as platform
 from dragonflyshelf.runtime.router import coordinator as router
-from dragonflyshelf.runtime.timeline import clock
-from dragonflyshelf.runtime.timeline import coordinator as timeline
 
 _LOGGER = logging.get_absl_logger()
 
@@ -74,16 +74,11 @@
             control_task.inbox,
             router_task.next_exchange,
         )
-        process_clock = clock.ProcessClock()
-        peers_task.clock = process_clock
-        timeline_task = timeline.TimelineTask(
-            config, incarnation, process_clock
-        )
-        control_task.timeline_inbox = timeline_task.inbox
-        router_task.timeline_inbox = timeline_task.inbox
         router_task.control_inbox = control_task.inbox
         router_task.peers_inbox = peers_task.inbox
         control_task.peers_inbox = peers_task.inbox
+        for kind in typing.get_args(limits.PeerMessage):
+            peers_task.inboxes_by_type[kind] = router_task.inbox
         grants_task = grants.GrantsTask(config, control_task.inbox)
         control_task.grants_inbox = grants_task.inbox
         callers = listener.CallerListenerTask(
@@ -93,7 +88,6 @@
         await callers.async_listen(host, config.listen.caller_port)
         for one in (
             watch,
-            timeline_task,
             writes,
             grants_task,
             router_task,
--- a/tests/runtime/callers/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Tests of callers' connections."""
--- a/tests/runtime/upstreams/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Tests of connections to upstreams."""
