--- a/bench/experiments.py
+++ b/bench/experiments.py
@@ -73,6 +73,10 @@
     "experiments"
 )
 
+CoreRun = abc.Callable[[int], None]
+CORE_RUNS: registry.Registry[str, CoreRun] = registry.Registry("core runs")
+"""Randomised runs of the core, from a seed; each raises on a violation."""
+
 
 def import_all() -> None:
     """Import every module of this folder, so that all register."""
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -22,16 +22,11 @@
 from bench import outcome
 from bench import plans
 from bench import workloads
-from dragonflyshelf.core import registry
 
 CORE_SHARE = 0.25
 EPISODE_SECONDS = 45.0
 SHORTEN_RUNS = 6
 
-CoreRun = abc.Callable[[int], None]
-CORE_RUNS: registry.Registry[str, CoreRun] = registry.Registry("core runs")
-"""Randomised runs of the core by name; each raises on a violation."""
-
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Episode:
@@ -111,11 +106,11 @@
     """Run the core with growing seeds; return the number of runs."""
     until = time.monotonic() + seconds
     count = 0
-    names = tuple(CORE_RUNS)
+    names = tuple(experiments.CORE_RUNS)
     while names and time.monotonic() < until:
         for name in names:
             try:
-                CORE_RUNS.get(name)(seed + count)
+                experiments.CORE_RUNS.get(name)(seed + count)
             except Exception:
                 print(f"soak: core run {name} broke with seed {seed + count}")
                 raise
--- a/dragonflyshelf/codec/http.py
+++ b/dragonflyshelf/codec/http.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import json
+import re
 
 import h11
 
@@ -39,13 +40,22 @@
 ROUTER_HEADERS = frozenset(
     {
         HEADER_DEADLINE,
-        HEADER_ROUTER_EPOCH,
-        HEADER_ROUTER_INSTANCE,
-        HEADER_ROUTER_SHARD,
-        HEADER_ROUTER_TERM,
+        HEADER_REQUEST_ID,
     }
 )
-DROPPED_FROM_REQUEST = HOP_BY_HOP | CALLER_KEY_HEADERS | ROUTER_HEADERS
+ROUTER_PREFIX = b"x-router-"
+DROPPED_FROM_REQUEST = (
+    HOP_BY_HOP | CALLER_KEY_HEADERS | ROUTER_HEADERS | {b"expect"}
+)
+NEVER_NAMED_BY_CONNECTION = frozenset(
+    {b"content-length", b"host", HEADER_WORKSPACE}
+)
+DEADLINE_DIGITS = 12
+REQUEST_ID = re.compile(rb"[!-~]{1,64}")
+ABSOLUTE_FORM = re.compile(rb"https?://([^/?#]*)([^#]*)", re.IGNORECASE)
+METHODS_REFUSED = frozenset({b"CONNECT", b"TRACE"})
+METHOD_HEAD = b"HEAD"
+STATUSES_WITHOUT_BODY = frozenset({204, 304})
 MILLISECONDS = 1000
 REASONS = {
     400: b"Bad Request",
@@ -83,13 +93,20 @@
     request_id: ids.RequestId,
     now: ids.Instant,
     longest: float,
+    private: bool = False,
 ) -> messages.RequestHead:
     """Return the typed head of a request without its caller key.
 
-    ``longest`` is the longest allowed deadline in seconds.
+    ``longest`` is the longest allowed deadline in seconds. Only a
+    ``private`` listener believes the caller about its workspace.
     """
+    if event.method in METHODS_REFUSED:
+        raise errors.BadRequest("the method is not served")
     headers = list(event.headers)
     key = caller_key(headers)
+    dropped = DROPPED_FROM_REQUEST | _named_by_connection(headers)
+    if not private:
+        dropped = dropped | {HEADER_WORKSPACE}
     kept = []
     timeout = longest
     length = -1
@@ -97,29 +114,64 @@
     for name, value in headers:
         if name == HEADER_DEADLINE:
             timeout = min(longest, _deadline(value))
-        elif name == HEADER_REQUEST_ID and len(value) <= 64:
-            request_id = ids.RequestId(value.decode("ascii"))
+        elif name == HEADER_REQUEST_ID:
+            request_id = _request_id(value)
         elif name == b"content-length":
             length = int(value)
             has_body = length > 0
         elif name == b"transfer-encoding":
             has_body = True
-        if name not in DROPPED_FROM_REQUEST:
+        if name not in dropped and not name.startswith(ROUTER_PREFIX):
             kept.append(messages.Header(name=name, value=value))
+    target, kept = _origin_form(event.target, kept)
     return messages.RequestHead(
         request_id=request_id,
         method=event.method,
-        target=event.target,
+        target=target,
         headers=tuple(kept),
         key_digest=digest_key(key) if key else ids.KeyDigest(""),
         deadline=ids.Instant(now + timeout),
+        private=private,
         has_body=has_body,
         body_length=length,
     )
 
 
+def _named_by_connection(
+    headers: list[tuple[bytes, bytes]],
+) -> frozenset[bytes]:
+    """Return the headers that belong to this connection alone."""
+    named: set[bytes] = set()
+    for name, value in headers:
+        if name == b"connection":
+            named.update(one.strip() for one in value.lower().split(b","))
+    return frozenset(named - NEVER_NAMED_BY_CONNECTION)
+
+
+def _origin_form(
+    target: bytes, headers: list[messages.Header]
+) -> tuple[bytes, list[messages.Header]]:
+    """Return the path of a target and the headers with its host."""
+    if target.startswith(b"/"):
+        return target, headers
+    found = ABSOLUTE_FORM.fullmatch(target)
+    if found is None:
+        raise errors.BadRequest("target is not a path")
+    host, path = found.groups()
+    if not path.startswith(b"/"):
+        path = b"/" + path
+    kept = [one for one in headers if one.name != b"host"]
+    return path, [messages.Header(name=b"host", value=host), *kept]
+
+
+def _request_id(value: bytes) -> ids.RequestId:
+    if REQUEST_ID.fullmatch(value) is None:
+        raise errors.BadRequest("request id is not 1 to 64 visible characters")
+    return ids.RequestId(value.decode("ascii"))
+
+
 def _deadline(value: bytes) -> float:
-    if not value.isdigit():
+    if not value.isdigit() or len(value) > DEADLINE_DIGITS:
         raise errors.BadRequest("deadline is not a number of milliseconds")
     return int(value) / MILLISECONDS
 
@@ -165,18 +217,36 @@
     )
 
 
-def protocol_error(error: h11.RemoteProtocolError) -> errors.RouterError:
+def protocol_error(
+    error: h11.RemoteProtocolError, outcome: states.Outcome
+) -> errors.RouterError:
     """Return the coded error for bytes that are not valid HTTP."""
-    refused = errors.BadRequest(str(error), outcome=states.Outcome.NOT_RUN)
-    return refused
+    kind: type[errors.RouterError] = errors.BadRequest
+    if error.error_status_hint == errors.HeadTooLarge.status:
+        kind = errors.HeadTooLarge
+    text, _, _ = str(error).partition(":")
+    return kind(text, outcome=outcome)
 
 
 def answer_headers(
     headers: list[tuple[bytes, bytes]],
 ) -> tuple[messages.Header, ...]:
     """Return the headers of an answer that may go on to the caller."""
+    dropped = HOP_BY_HOP | _named_by_connection(headers)
+    if any(name == b"transfer-encoding" for name, _ in headers):
+        dropped = dropped | {b"content-length"}
     return tuple(
         messages.Header(name=name, value=value)
         for name, value in headers
-        if name not in HOP_BY_HOP
+        if name not in dropped
+    )
+
+
+def is_framed(method: bytes, event: h11.Response) -> bool:
+    """Tell whether the end of an answer can be told from a cut."""
+    if method == METHOD_HEAD or event.status_code in STATUSES_WITHOUT_BODY:
+        return True
+    return any(
+        name in (b"content-length", b"transfer-encoding")
+        for name, _ in event.headers
     )
--- a/dragonflyshelf/codec/peer.py
+++ b/dragonflyshelf/codec/peer.py
@@ -1,9 +1,9 @@
 """Frames between instances, by ``pycapnp``.
 
-A frame is a length of four bytes, big end first, and one Cap'n Proto
-``Frame``. Each dataclass is mapped to the struct of its union member by
-field name, so a new message needs a struct, a union member and a line
-in ``TYPES_BY_MEMBER``.
+A frame is a length of four bytes, a causal stamp of eight, both big end
+first, and one Cap'n Proto ``Frame``. Each dataclass is mapped to the
+struct of its union member by field name, so a new message needs a
+struct, a union member and a line in ``TYPES_BY_MEMBER``.
 """
 
 from collections import abc
@@ -27,10 +27,12 @@
 from dragonflyshelf.core.peers import messages as peers
 from dragonflyshelf.core.platform import relay
 from dragonflyshelf.core import states
+from dragonflyshelf.core.timeline import clock
 
 Encoder = abc.Callable[[Any], Any]
 
 LENGTH: Final = struct.Struct(">I")
+PREFIX: Final = struct.Struct(">IQ")
 LONGEST_FRAME_BYTES: Final = 4 * 1024 * 1024
 SCHEMA: Final = pathlib.Path(__file__).with_name("peer.capnp")
 
@@ -179,12 +181,12 @@
 }
 
 
-def encode(message: Any) -> bytes:
-    """Return one frame with its length."""
+def encode(message: Any, stamp: ids.Stamp = clock.NO_STAMP) -> bytes:
+    """Return one frame with its length and its causal stamp."""
     member, to_struct = _ENCODERS_BY_TYPE[type(message)]
     frame = _schema.Frame.new_message(**{member: to_struct(message)})
     data = frame.to_bytes()
-    return LENGTH.pack(len(data)) + data
+    return PREFIX.pack(len(data), stamp) + data
 
 
 class FrameDecoder:
@@ -193,6 +195,8 @@
     def __init__(self) -> None:
         """Create a decoder for one link."""
         self._buffer = bytearray()
+        self.stamp = clock.NO_STAMP
+        """Highest causal stamp of the frames so far."""
 
     def receive(self, data: bytes) -> list[Any]:
         """Add bytes and return the messages that became whole.
@@ -206,18 +210,20 @@
             (length,) = LENGTH.unpack_from(self._buffer, start)
             if length > LONGEST_FRAME_BYTES:
                 raise errors.BadRequest("frame is too long")
-            end = start + LENGTH.size + length
+            end = start + PREFIX.size + length
             if len(self._buffer) < end:
                 break
-            body = bytes(self._buffer[start + LENGTH.size : end])
+            _, stamp = PREFIX.unpack_from(self._buffer, start)
+            body = bytes(self._buffer[start + PREFIX.size : end])
             found.append(decode_frame(body))
+            self.stamp = max(self.stamp, stamp)
             start = end
         del self._buffer[:start]
         return found
 
 
 def decode_frame(body: bytes) -> Any:
-    """Return the message of one frame without its length."""
+    """Return the message of one frame without its prefix."""
     try:
         with _schema.Frame.from_bytes(body) as frame:
             member = frame.which()
--- a/dragonflyshelf/core/errors.py
+++ b/dragonflyshelf/core/errors.py
@@ -154,6 +154,31 @@
     """No link to the other instance is open."""
 
 
+@error_code("DS120", 431, states.Step.PARSE)
+class HeadTooLarge(RouterError):
+    """The head of the request is over its bounds."""
+
+
+@error_code("DS121", 408, states.Step.RECEIVE)
+class RequestTimeout(RouterError):
+    """The caller took too long to send its request."""
+
+
+@error_code("DS122", 505, states.Step.PARSE)
+class VersionNotSupported(RouterError):
+    """The request has a version of HTTP that is not served."""
+
+
+@error_code("DS123", 400, states.Step.RECEIVE)
+class CallerGone(RouterError):
+    """The caller closed its side before the answer began."""
+
+
+@error_code("DS124", 503, states.Step.ADMISSION)
+class TooManyConnections(RouterError):
+    """The instance has as many connections as it may."""
+
+
 @error_code("DS114", 503, states.Step.AUTHENTICATION)
 class StaleInstance(RouterError):
     """This instance is cut off and may not know of withdrawn keys."""
--- a/dragonflyshelf/core/ids.py
+++ b/dragonflyshelf/core/ids.py
@@ -44,6 +44,9 @@
 ShardId = NewType("ShardId", int)
 """Number of a shard within its service, from 0."""
 
+Stamp = NewType("Stamp", int)
+"""Reading of the hybrid logical clock; it orders events of instances."""
+
 StartId = NewType("StartId", str)
 """Identifier that an upstream draws at each start."""
 
--- a/dragonflyshelf/core/settings.py
+++ b/dragonflyshelf/core/settings.py
@@ -107,6 +107,7 @@
     head_bytes: Annotated[
         int, ranges.Range(minimum=1024, maximum=MIB, unit="B")
     ] = (32 * KIB)
+    headers: Annotated[int, ranges.Range(minimum=8, maximum=10000)] = 100
     body_bytes: Annotated[
         int, ranges.Range(minimum=0, maximum=1024 * MIB, unit="B")
     ] = (16 * MIB)
@@ -121,6 +122,7 @@
     )
     idle_timeout: Annotated[float, SECONDS] = 60.0
     read_timeout: Annotated[float, SECONDS] = 10.0
+    linger_timeout: Annotated[float, SECONDS] = 2.0
     inbox_messages: Annotated[
         int, ranges.Range(minimum=16, maximum=10000000)
     ] = 100000
@@ -158,6 +160,7 @@
     """Section ``log``: what is logged."""
 
     level: LogLevel = LogLevel.INFO
+    access_level: LogLevel = LogLevel.DEBUG
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -165,6 +168,16 @@
     """Section ``shutdown``: graceful end of the process."""
 
     deadline: Annotated[float, SECONDS] = 20.0
+    settle: Annotated[
+        float, ranges.Range(minimum=0, maximum=600, unit="s")
+    ] = 0.5
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TimelineSettings:
+    """Section ``timeline``: what is kept of past events."""
+
+    entries: Annotated[int, ranges.Range(minimum=100, maximum=1000000)] = 20000
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -180,6 +193,7 @@
     platform: PlatformSettings = PlatformSettings()
     requests: RequestSettings = RequestSettings()
     shutdown: ShutdownSettings = ShutdownSettings()
+    timeline: TimelineSettings = TimelineSettings()
     upstreams: UpstreamSettings = UpstreamSettings()
     operators: dict[str, str] = dataclasses.field(default_factory=dict)
     """Section ``operators``: name to ``role:digest`` of the token."""
--- a/dragonflyshelf/runtime/callers/connection.py
+++ b/dragonflyshelf/runtime/callers/connection.py
@@ -1,8 +1,6 @@
 """Task that owns the connection of one caller."""
 
-import asyncio
 from collections import abc
-import dataclasses
 import secrets
 
 from absl import logging
@@ -12,7 +10,13 @@
 from dragonflyshelf.core import errors
 from dragonflyshelf.core import ids
 from dragonflyshelf.core import messages
+from dragonflyshelf.core import registry
 from dragonflyshelf.core import settings
+from dragonflyshelf.runtime.callers import diagnostics
+from dragonflyshelf.runtime.callers import exchange
+from dragonflyshelf.runtime.callers import messages as caller_messages
+from dragonflyshelf.runtime.callers import waits
+from dragonflyshelf.runtime.callers import wire
 from dragonflyshelf.runtime import inbox
 from dragonflyshelf.runtime import messages as runtime_messages
 from dragonflyshelf.runtime import sockets
@@ -20,26 +24,13 @@
 
 _LOGGER = logging.get_absl_logger()
 
+DEADLINE_GRACE = 0.25
+LINGER_BYTES = 1024 * 1024
 REQUEST_ID_BYTES = 8
 
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class IdleTimeout:
-    """The connection has waited for this long; ``mark`` names the wait."""
-
-    mark: int
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ConnectionEnded:
-    """A connection task tells the listener that it has ended."""
-
-    connection: "CallerConnectionTask"
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class DrainConnection:
-    """The listener asks the connection to end after its exchange."""
+WAIT_ENDS: registry.Registry[
+    waits.Wait, abc.Callable[["CallerConnectionTask"], None]
+] = registry.Registry("ends of waits")
 
 
 class CallerConnectionTask(task.Task):
@@ -54,93 +45,123 @@
         private: bool,
     ) -> None:
         """Create the task; the socket arrives as a message."""
-        super().__init__("caller")
+        super().__init__("caller", config.requests.inbox_messages)
         self._config = config.requests
+        self._access = diagnostics.AccessLog(config.log)
         self._router = router
         self._listener = listener
         self._next_exchange = next_exchange
         self._private = private
-        self._transport: asyncio.Transport | None = None
-        self._http = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=config.requests.head_bytes
-        )
-        self._exchange = ids.ExchangeId(0)
-        self._head: messages.RequestHead | None = None
-        self._target: inbox.Inbox | None = None
-        self._body: list[bytes] = []
-        self._body_size = 0
-        self._body_complete = False
-        self._unacknowledged = 0
-        self._answering = False
-        self._answered = False
-        self._write_paused = False
-        self._owed_credit = 0
+        self._wire = wire.CallerWire(config.requests)
+        self._exchange = exchange.CallerExchange(config=self._config)
+        self._timer = waits.WaitTimer(self.inbox)
+        self._refusal: errors.RouterError | None = None
         self._draining = False
-        self._idle_mark = 0
-        self._idle_timer: asyncio.TimerHandle | None = None
+        self._lingering = False
+        self._early_bytes = 0
 
     @task.handles(sockets.SocketOpened)
     def _on_opened(self, message: sockets.SocketOpened) -> None:
-        self._transport = message.transport
-        self._wait_idle()
+        self._wire.open(message.transport)
+        if self._refusal is not None:
+            self._refuse(self._refusal)
+            return
+        self._wait_for(waits.Wait.IDLE, self._config.idle_timeout)
+
+    @task.handles(caller_messages.RefuseConnection)
+    def _on_refused(self, message: caller_messages.RefuseConnection) -> None:
+        self._refusal = message.error
 
     @task.handles(sockets.DataReceived)
     def _on_data(self, message: sockets.DataReceived) -> None:
-        self._http.receive_data(message.data)
+        size = len(message.data)
+        self._early_bytes += size
+        if self._lingering:
+            if self._early_bytes > LINGER_BYTES:
+                self._abort()
+            return
+        self._wire.http.receive_data(message.data)
+        if self._exchange.id and self._exchange.body_complete:
+            self._hold_or_read()
+            return
+        self._early_bytes = size
         self._advance()
 
     @task.handles(sockets.EndReceived)
     def _on_end_received(self, message: sockets.EndReceived) -> None:
-        self._close()
+        if self._lingering or not self._exchange.id:
+            self._stop()
+            return
+        self._draining = True
+        if not self._exchange.answering:
+            self._give_up(errors.CallerGone, "caller closed its side")
+        elif not self._exchange.body_complete:
+            self._abort()
 
     @task.handles(sockets.SocketClosed)
     def _on_closed(self, message: sockets.SocketClosed) -> None:
-        self._transport = None
-        self._close()
+        self._wire.lost()
+        self._stop()
 
     @task.handles(sockets.WritePaused)
     def _on_write_paused(self, message: sockets.WritePaused) -> None:
-        self._write_paused = True
+        """Hold back credit while the wire is full."""
 
     @task.handles(sockets.WriteResumed)
     def _on_write_resumed(self, message: sockets.WriteResumed) -> None:
-        self._write_paused = False
         self._return_credit(0)
+        if not self._exchange.id and not self._lingering:
+            self._advance()
 
-    @task.handles(IdleTimeout)
-    def _on_idle(self, message: IdleTimeout) -> None:
-        if message.mark == self._idle_mark and not self._exchange:
-            self._close()
+    @task.handles(caller_messages.WaitOver)
+    def _on_wait_over(self, message: caller_messages.WaitOver) -> None:
+        if not self.stopped and self._timer.is_over(self.now):
+            WAIT_ENDS.get(self._timer.wait)(self)
+
+    @task.handles(caller_messages.LeaveConnection)
+    def _on_leave(self, message: caller_messages.LeaveConnection) -> None:
+        self._draining = True
 
-    @task.handles(DrainConnection)
-    def _on_drain(self, message: DrainConnection) -> None:
+    @task.handles(caller_messages.DrainConnection)
+    def _on_drain(self, message: caller_messages.DrainConnection) -> None:
         self._draining = True
-        if not self._exchange:
-            self._close()
+        if self._exchange.id or self._lingering:
+            return
+        if self._timer.wait is waits.Wait.IDLE:
+            self._linger()
 
     @task.handles(runtime_messages.Attached)
     def _on_attached(self, message: runtime_messages.Attached) -> None:
-        if message.exchange != self._exchange:
+        running = self._exchange
+        if message.exchange != running.id:
+            return
+        if running.chunks_dropped:
+            self._give_up(errors.Overloaded, "body cannot be sent again")
             return
-        self._target = message.target
-        self._unacknowledged = 0
-        for data in self._body:
+        running.target = message.target
+        running.priority = message.priority
+        running.unacknowledged = 0
+        if self._wire.http.they_are_waiting_for_100_continue:
+            self._write(h11.InformationalResponse(status_code=100, headers=[]))
+        for data in running.chunks:
             self._send_body(data)
-        if self._body_complete:
-            self._target.post(messages.BodyEnd(exchange=self._exchange))
+        running.drop_chunks()
+        if running.body_complete and running.has_body:
+            message.target.post(messages.BodyEnd(exchange=running.id))
 
     @task.handles(messages.Credit)
     def _on_credit(self, message: messages.Credit) -> None:
-        if message.exchange != self._exchange:
+        if message.exchange != self._exchange.id:
             return
-        self._unacknowledged -= message.size
+        self._exchange.unacknowledged -= message.size
         self._hold_or_read()
 
     @task.handles(messages.AnswerHead)
     def _on_answer_head(self, message: messages.AnswerHead) -> None:
-        if message.exchange != self._exchange:
+        if message.exchange != self._exchange.id:
             return
-        self._answering = True
+        self._exchange.answering = True
+        self._exchange.status = message.status
         headers = [(one.name, one.value) for one in message.headers]
         if self._must_close():
             headers.append((b"connection", b"close"))
@@ -154,27 +175,23 @@
 
     @task.handles(messages.AnswerChunk)
     def _on_answer_chunk(self, message: messages.AnswerChunk) -> None:
-        if message.exchange != self._exchange:
+        if message.exchange != self._exchange.id:
             return
         self._write(h11.Data(data=message.data))
         self._return_credit(len(message.data))
 
     @task.handles(messages.AnswerEnd)
     def _on_answer_end(self, message: messages.AnswerEnd) -> None:
-        if message.exchange != self._exchange:
+        if message.exchange != self._exchange.id:
             return
         self._write(h11.EndOfMessage())
-        self._answered = True
+        self._exchange.answered = True
         self._finish_cycle()
 
     @task.handles(messages.AnswerFailed)
     def _on_answer_failed(self, message: messages.AnswerFailed) -> None:
-        if message.exchange != self._exchange:
-            return
-        if self._answering:
-            self._abort()
-            return
-        self._refuse(message.error)
+        if message.exchange == self._exchange.id:
+            self._refuse(message.error)
 
     def on_failure(self) -> None:
         """Break the connection, so that no answer can look whole."""
@@ -182,21 +199,26 @@
 
     def on_end(self) -> None:
         """Close the socket and tell the listener."""
-        if self._idle_timer is not None:
-            self._idle_timer.cancel()
-        if self._transport is not None:
-            self._transport.close()
-            self._transport = None
-        self._listener.post(ConnectionEnded(connection=self))
+        self._timer.cancel()
+        self._wire.close()
+        self._listener.post(caller_messages.ConnectionEnded(inbox=self.inbox))
 
     def _advance(self) -> None:
-        while self._transport is not None:
+        while self._wire.is_open and not self._lingering:
+            if self._wire.is_full and not self._exchange.id:
+                return
             try:
-                event = self._http.next_event()
+                event = self._wire.next_event()
+            except errors.RouterError as error:
+                self._refuse(error)
+                return
             except h11.RemoteProtocolError as error:
-                self._refuse_protocol(error)
+                outcome = self._exchange.outcome
+                self._cancel_exchange()
+                self._refuse(http.protocol_error(error, outcome))
                 return
             if event is h11.NEED_DATA or event is h11.PAUSED:
+                self._watch_head()
                 return
             if isinstance(event, h11.Request):
                 self._on_request(event)
@@ -204,182 +226,184 @@
                 self._on_body(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
                 self._on_body_end()
-            elif isinstance(event, h11.ConnectionClosed):
-                self._close()
-                return
+
+    def _watch_head(self) -> None:
+        idle = self._timer.wait is waits.Wait.IDLE
+        if idle and self._wire.has_partial_head:
+            self._wait_for(waits.Wait.HEAD, self._config.read_timeout)
 
     def _on_request(self, event: h11.Request) -> None:
-        self._idle_mark += 1
-        self._exchange = self._next_exchange()
+        running = self._exchange
+        running.id = self._next_exchange()
+        running.method = event.method
+        running.started = self.now
         request_id = ids.RequestId(secrets.token_hex(REQUEST_ID_BYTES))
         try:
-            self._head = http.request_head(
-                event, request_id, self.now, self._config.deadline
+            running.head = http.request_head(
+                event,
+                request_id,
+                running.started,
+                self._config.deadline,
+                self._private,
+            )
+            if running.over_bound:
+                raise errors.BodyTooLarge("body is over the bound")
+            self._router.post(
+                runtime_messages.ArriveExchange(
+                    exchange=running.id,
+                    head=running.head,
+                    origin=self.inbox,
+                )
             )
-        except errors.BadRequest as error:
+        except errors.RouterError as error:
             self._refuse(error)
             return
-        if self._private:
-            self._head = dataclasses.replace(self._head, private=True)
-        if self._head.body_length > self._config.body_bytes:
-            self._refuse(errors.BodyTooLarge("body is over the bound"))
-            return
-        if self._http.they_are_waiting_for_100_continue:
-            self._write(h11.InformationalResponse(status_code=100, headers=[]))
-        self._router.post(
-            runtime_messages.ArriveExchange(
-                exchange=self._exchange,
-                head=self._head,
-                origin=self.inbox,
-            )
-        )
+        running.routed = True
+        self._wait_for(waits.Wait.BODY, self._config.read_timeout)
 
     def _on_body(self, data: bytes) -> None:
-        if not self._exchange or self._head is None:
-            return
-        self._body_size += len(data)
-        if self._body_size > self._config.body_bytes:
-            self._cancel_exchange()
-            self._refuse(errors.BodyTooLarge("body is over the bound"))
+        running = self._exchange
+        running.add_chunk(data)
+        if running.over_bound:
+            self._give_up(errors.BodyTooLarge, "body is over the bound")
             return
-        if self._target is None or self._replayable():
-            self._body.append(data)
-        if self._target is not None:
+        if running.target is not None:
             self._send_body(data)
         self._hold_or_read()
+        self._wait_for(waits.Wait.BODY, self._config.read_timeout)
 
     def _on_body_end(self) -> None:
-        self._body_complete = True
-        if self._target is not None and self._exchange:
-            self._target.post(messages.BodyEnd(exchange=self._exchange))
-        if self._answered:
-            self._finish_cycle()
-
-    def _replayable(self) -> bool:
-        return self._body_size <= self._config.replay_bytes
+        running = self._exchange
+        running.body_complete = True
+        self._early_bytes = 0
+        if running.head is not None:
+            remaining = running.head.deadline - self.now
+            self._wait_for(waits.Wait.ANSWER, remaining + DEADLINE_GRACE)
+        if running.target is not None and running.has_body:
+            running.target.post(messages.BodyEnd(exchange=running.id))
 
     def _send_body(self, data: bytes) -> None:
-        assert self._target is not None
-        self._unacknowledged += len(data)
-        self._target.post(
-            messages.BodyChunk(exchange=self._exchange, data=data)
-        )
+        running = self._exchange
+        assert running.target is not None
+        running.unacknowledged += len(data)
+        running.target.post(messages.BodyChunk(exchange=running.id, data=data))
 
     def _hold_or_read(self) -> None:
-        if self._transport is None:
-            return
-        waiting = self._unacknowledged
-        if self._target is None:
-            waiting = self._body_size
-        if waiting >= self._config.window_bytes:
-            self._transport.pause_reading()
-        else:
-            self._transport.resume_reading()
+        hold = self._exchange.must_wait
+        if self._exchange.body_complete:
+            hold = self._early_bytes > self._config.head_bytes
+        self._wire.hold(hold)
 
     def _return_credit(self, size: int) -> None:
-        self._owed_credit += size
-        if self._write_paused or self._owed_credit == 0:
+        running = self._exchange
+        running.owed_credit += size
+        if self._wire.is_full or running.owed_credit == 0:
             return
-        if self._target is not None:
-            self._target.post(
-                messages.Credit(
-                    exchange=self._exchange, size=self._owed_credit
-                )
+        if running.target is not None:
+            running.target.post(
+                messages.Credit(exchange=running.id, size=running.owed_credit)
             )
-        self._owed_credit = 0
+        running.owed_credit = 0
 
     def _write(self, event: h11.Event) -> None:
-        data = self._http.send(event)
-        if data and self._transport is not None:
-            self._transport.write(data)
+        self._wire.send(event)
+        if not self.inbox:
+            self._wire.flush()
 
     def _must_close(self) -> bool:
-        return self._draining or not self._body_complete
+        return self._draining or not self._exchange.body_complete
 
-    def _refuse(self, error: errors.RouterError) -> None:
-        request_id = ids.RequestId("")
-        if self._head is not None:
-            request_id = self._head.request_id
-        body = http.error_body(error, request_id)
-        close = self._must_close()
-        self._write(http.error_response(error, len(body), close))
-        if self._head is None or self._head.method != b"HEAD":
-            self._write(h11.Data(data=body))
-        self._write(h11.EndOfMessage())
-        self._answered = True
-        if close:
-            self._close()
+    @WAIT_ENDS.register(waits.Wait.IDLE)
+    def _end_idle(self) -> None:
+        self._linger()
+
+    @WAIT_ENDS.register(waits.Wait.LINGER)
+    def _end_linger(self) -> None:
+        self._abort()
+
+    @WAIT_ENDS.register(waits.Wait.HEAD)
+    def _end_head(self) -> None:
+        self._refuse(errors.RequestTimeout("the head did not end in time"))
+
+    @WAIT_ENDS.register(waits.Wait.BODY)
+    def _end_body(self) -> None:
+        if self._exchange.must_wait:
+            self._wait_for(waits.Wait.BODY, self._config.read_timeout)
             return
-        self._finish_cycle()
+        self._give_up(errors.RequestTimeout, "the body did not go on in time")
+
+    @WAIT_ENDS.register(waits.Wait.ANSWER)
+    def _end_answer(self) -> None:
+        self._give_up(errors.DeadlineExceeded, "no answer within the deadline")
+
+    def _give_up(self, kind: type[errors.RouterError], text: str) -> None:
+        """Cancel the request wherever it is and tell the caller."""
+        outcome = self._exchange.outcome
+        self._cancel_exchange()
+        self._refuse(kind(text, outcome=outcome))
 
-    def _refuse_protocol(self, error: h11.RemoteProtocolError) -> None:
-        if self._exchange or self._http.our_state not in (
-            h11.IDLE,
-            h11.SEND_RESPONSE,
-        ):
+    def _refuse(self, error: errors.RouterError) -> None:
+        running = self._exchange
+        if running.answering:
             self._abort()
             return
-        self._refuse(http.protocol_error(error))
-        self._close()
+        running.code = error.code
+        running.status = error.status
+        body = http.error_body(error, running.request_id)
+        self._write(http.error_response(error, len(body), self._must_close()))
+        if running.method != http.METHOD_HEAD:
+            self._write(h11.Data(data=body))
+        self._write(h11.EndOfMessage())
+        running.answered = True
+        self._finish_cycle()
 
     def _finish_cycle(self) -> None:
-        if self._http.our_state is not h11.DONE:
-            self._close()
+        self._end_exchange()
+        self._wire.flush()
+        if self._draining or not self._wire.is_reusable:
+            self._linger()
             return
-        if self._http.their_state is not h11.DONE:
-            self._close()
-            return
-        self._end_exchange(cancelled=False)
-        if self._draining:
-            self._close()
-            return
-        self._http.start_next_cycle()
-        self._wait_idle()
+        self._wire.http.start_next_cycle()
+        self._wait_for(waits.Wait.IDLE, self._config.idle_timeout)
+        self._hold_or_read()
         self._advance()
 
-    def _end_exchange(self, cancelled: bool) -> None:
-        if self._exchange:
-            self._router.post(
-                runtime_messages.ExchangeEnded(
-                    exchange=self._exchange, cancelled=cancelled
-                )
-            )
-        self._exchange = ids.ExchangeId(0)
-        self._head = None
-        self._target = None
-        self._body = []
-        self._body_size = 0
-        self._body_complete = False
-        self._unacknowledged = 0
-        self._answering = False
-        self._answered = False
-        self._owed_credit = 0
+    def _end_exchange(self) -> None:
+        running = self._exchange
+        if running.id:
+            self._cancel_exchange()
+            self._access.record(running, self.now)
+        self._exchange = exchange.CallerExchange(config=self._config)
+        self._early_bytes = 0
 
     def _cancel_exchange(self) -> None:
-        if not self._exchange:
+        running = self._exchange
+        if not running.routed:
             return
+        running.routed = False
+        running.target = None
         self._router.post(
             runtime_messages.ExchangeEnded(
-                exchange=self._exchange, cancelled=True
+                exchange=running.id, cancelled=not running.answered
             )
         )
-        self._target = None
-
-    def _wait_idle(self) -> None:
-        self._idle_mark += 1
-        if self._idle_timer is not None:
-            self._idle_timer.cancel()
-        self._idle_timer = self.post_later(
-            self._config.idle_timeout, IdleTimeout(mark=self._idle_mark)
-        )
+
+    def _wait_for(self, wait: waits.Wait, seconds: float) -> None:
+        self._timer.begin(wait, self.now, seconds)
+
+    def _linger(self) -> None:
+        """End our side and read on, so that no reset eats the answer."""
+        if not self._wire.is_open:
+            self._stop()
+            return
+        self._lingering = True
+        self._wire.end_side()
+        self._wait_for(waits.Wait.LINGER, self._config.linger_timeout)
 
     def _abort(self) -> None:
-        if self._transport is not None:
-            self._transport.abort()
-            self._transport = None
-        self._close()
-
-    def _close(self) -> None:
-        cancelled = not self._answered
-        self._end_exchange(cancelled=cancelled)
+        self._wire.abort()
+        self._stop()
+
+    def _stop(self) -> None:
+        self._end_exchange()
         self.stop()
--- /dev/null
+++ b/dragonflyshelf/runtime/callers/diagnostics.py
@@ -0,0 +1,94 @@
+"""Access log and metrics of callers' requests."""
+
+from typing import Final
+
+from absl import logging
+import prometheus_client
+
+from dragonflyshelf.core.dispatch import routes
+from dragonflyshelf.core import errors
+from dragonflyshelf.core import ids
+from dragonflyshelf.core import settings
+from dragonflyshelf.runtime.callers import exchange
+from dragonflyshelf.runtime import logs
+
+_LOGGER = logging.get_absl_logger()
+
+LABEL_NONE: Final = "none"
+LATENCY_BUCKETS: Final = (
+    0.001,
+    0.0025,
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1.0,
+    2.5,
+    5.0,
+    10.0,
+)
+REQUESTS: Final = prometheus_client.Counter(
+    "dragonflyshelf_requests",
+    "Requests of callers by service, class, status and error code",
+    ("service", "priority", "status", "code"),
+)
+LATENCY: Final = prometheus_client.Histogram(
+    "dragonflyshelf_request_seconds",
+    "Time from the head of a request to the end of its answer",
+    ("service", "priority"),
+    buckets=LATENCY_BUCKETS,
+)
+CODES_BEFORE_ROUTE: Final = frozenset(
+    {
+        errors.BadRequest.code,
+        errors.BodyTooLarge.code,
+        errors.InboxFull.code,
+        errors.NoSuchService.code,
+    }
+)
+
+
+class AccessLog:
+    """Records each finished request of one connection."""
+
+    def __init__(self, config: settings.LogSettings) -> None:
+        """Create a record that logs at the level of the settings."""
+        self._level = logs.STANDARD_LEVELS[config.access_level]
+
+    def record(
+        self, running: exchange.CallerExchange, now: ids.Instant
+    ) -> None:
+        """Count a request and log it; ``now`` is the end of its answer."""
+        priority = running.priority.value if running.priority else LABEL_NONE
+        service = _service(running)
+        status = str(running.status) if running.answered else "cut"
+        code = running.code or LABEL_NONE
+        seconds = now - running.started
+        REQUESTS.labels(service, priority, status, code).inc()
+        LATENCY.labels(service, priority).observe(seconds)
+        if not _LOGGER.isEnabledFor(self._level):
+            return
+        _LOGGER.log(
+            self._level,
+            "request ended",
+            extra={
+                "code": running.code,
+                "request_id": running.request_id,
+                "seconds": round(seconds, 6),
+                "service": service,
+                "status": status,
+            },
+        )
+
+
+def _service(running: exchange.CallerExchange) -> str:
+    """Return a label whose values are names of known services only."""
+    if running.head is None or running.code in CODES_BEFORE_ROUTE:
+        return LABEL_NONE
+    if running.priority is None and not running.code:
+        return LABEL_NONE
+    name, _ = routes.split_target(running.head.target)
+    return name
--- a/dragonflyshelf/runtime/callers/listener.py
+++ b/dragonflyshelf/runtime/callers/listener.py
@@ -2,15 +2,27 @@
 
 import asyncio
 from collections import abc
+from typing import cast
 
+from dragonflyshelf.core import errors
 from dragonflyshelf.core import ids
 from dragonflyshelf.core import settings
 from dragonflyshelf.runtime.callers import connection
+from dragonflyshelf.runtime.callers import messages
 from dragonflyshelf.runtime import inbox
 from dragonflyshelf.runtime import sockets
 from dragonflyshelf.runtime import task
 
 LISTEN_BACKLOG = 1024
+REFUSED_AT_ONCE = 256
+
+
+class RefusingProtocol(asyncio.Protocol):
+    """Drops a connection at once."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Drop the connection."""
+        cast(asyncio.Transport, transport).abort()
 
 
 class CallerListenerTask(task.Task):
@@ -29,7 +41,9 @@
         self._router = router
         self._next_exchange = next_exchange
         self._private = private
-        self._connections: set[connection.CallerConnectionTask] = set()
+        self._connections_by_inbox: dict[
+            inbox.Inbox, connection.CallerConnectionTask
+        ] = {}
         self._server: asyncio.Server | None = None
         self.port = 0
 
@@ -49,32 +63,46 @@
             self._next_exchange,
             self._private,
         )
-        self._connections.add(accepted)
+        open_now = len(self._connections_by_inbox)
+        over = open_now - self._config.requests.connections
+        if over >= REFUSED_AT_ONCE:
+            return RefusingProtocol()
+        if over >= 0:
+            error = errors.TooManyConnections("too many connections")
+            accepted.inbox.post(messages.RefuseConnection(error=error))
+        self._connections_by_inbox[accepted.inbox] = accepted
         accepted.start()
         return sockets.SocketProtocol(accepted.inbox)
 
-    @task.handles(connection.ConnectionEnded)
-    def _on_connection_ended(
-        self, message: connection.ConnectionEnded
-    ) -> None:
-        self._connections.discard(message.connection)
+    @task.handles(messages.ConnectionEnded)
+    def _on_connection_ended(self, message: messages.ConnectionEnded) -> None:
+        self._connections_by_inbox.pop(message.inbox, None)
 
     @property
     def connections(self) -> int:
         """Return the number of open connections."""
-        return len(self._connections)
+        return len(self._connections_by_inbox)
+
+    def leave(self) -> None:
+        """Ask every caller to open no further request here."""
+        self._tell_all(messages.LeaveConnection())
 
     def drain(self) -> None:
         """Stop accepting and let every connection end."""
         if self._server is not None:
             self._server.close()
-        for one in self._connections:
-            one.inbox.post(connection.DrainConnection())
+        self._tell_all(messages.DrainConnection())
+
+    def _tell_all(
+        self, message: messages.DrainConnection | messages.LeaveConnection
+    ) -> None:
+        for one in self._connections_by_inbox:
+            one.post(message)
 
     def on_end(self) -> None:
         """Close the listening socket and all connections."""
         if self._server is not None:
             self._server.close()
-        for one in list(self._connections):
+        for one in self._connections_by_inbox.values():
             one.stop()
-            one.inbox.post(connection.DrainConnection())
+            one.inbox.post(messages.DrainConnection())
--- /dev/null
+++ b/dragonflyshelf/runtime/callers/wire.py
@@ -0,0 +1,110 @@
+"""Socket and HTTP state of one caller's connection."""
+
+import asyncio
+
+import h11
+
+from dragonflyshelf.codec import heads
+from dragonflyshelf.core import settings
+from dragonflyshelf.runtime import sockets
+
+FLUSH_BYTES = 16384
+
+
+class CallerWire:
+    """Bytes in, events out, and the other way round.
+
+    The connection task that holds it is its only user.
+    """
+
+    def __init__(self, config: settings.RequestSettings) -> None:
+        """Create a wire whose socket is not open yet."""
+        self._config = config
+        self._transport: asyncio.Transport | None = None
+        self._unwritten: list[bytes] = []
+        self.http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=config.head_bytes
+        )
+
+    @property
+    def is_open(self) -> bool:
+        """Tell whether bytes can still be written."""
+        return self._transport is not None and not self._transport.is_closing()
+
+    @property
+    def is_full(self) -> bool:
+        """Tell whether the caller reads more slowly than we write."""
+        return sockets.is_full(self._transport)
+
+    @property
+    def has_partial_head(self) -> bool:
+        """Tell whether the next request has begun to come in."""
+        waits = self.http.their_state is h11.IDLE
+        return waits and bool(self.http.trailing_data[0])
+
+    @property
+    def is_reusable(self) -> bool:
+        """Tell whether both sides can go on with a next request."""
+        states = (self.http.our_state, self.http.their_state)
+        return states == (h11.DONE, h11.DONE)
+
+    def open(self, transport: asyncio.Transport) -> None:
+        """Take over the socket."""
+        self._transport = transport
+
+    def lost(self) -> None:
+        """Forget a socket that is gone."""
+        self._transport = None
+
+    def next_event(self) -> h11.Event | type[h11.NEED_DATA]:
+        """Return the next event of the caller's bytes."""
+        if self.http.their_state is h11.IDLE:
+            raw, _ = self.http.trailing_data
+            if not raw or not heads.is_complete(raw, self._config):
+                return h11.NEED_DATA
+        return self.http.next_event()
+
+    def send(self, event: h11.Event) -> None:
+        """Encode an event; ``flush`` writes it."""
+        data = self.http.send(event)
+        if not data:
+            return
+        self._unwritten.append(data)
+        if len(data) >= FLUSH_BYTES:
+            self.flush()
+
+    def flush(self) -> None:
+        """Write what has been encoded, in one piece."""
+        if self._unwritten and self._transport is not None:
+            self._transport.write(b"".join(self._unwritten))
+        self._unwritten = []
+
+    def hold(self, is_held: bool) -> None:
+        """Stop to read, or go on."""
+        if self._transport is None:
+            return
+        if is_held:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
+
+    def end_side(self) -> None:
+        """Write the rest and end our side; reading goes on."""
+        self.flush()
+        if self._transport is not None:
+            self._transport.write_eof()
+            self._transport.resume_reading()
+
+    def abort(self) -> None:
+        """Drop the socket with all that is unwritten."""
+        self._unwritten = []
+        if self._transport is not None:
+            sockets.reset(self._transport)
+            self._transport = None
+
+    def close(self) -> None:
+        """Write the rest within the linger timeout, and close."""
+        self.flush()
+        if self._transport is not None:
+            sockets.close_within(self._transport, self._config.linger_timeout)
+            self._transport = None
--- a/dragonflyshelf/runtime/logs.py
+++ b/dragonflyshelf/runtime/logs.py
@@ -3,20 +3,40 @@
 import datetime
 import json
 import logging as standard_logging
+from typing import Final
 
 from absl import flags
 from absl import logging
 
 import dragonflyshelf
 
+from dragonflyshelf.core import errors
 from dragonflyshelf.core import settings
 
+FIELDS: Final = (
+    "code",
+    "cut_connections",
+    "cut_requests",
+    "outcome",
+    "peer",
+    "request_id",
+    "seconds",
+    "service",
+    "status",
+    "step",
+)
 LEVELS = {
     settings.LogLevel.DEBUG: logging.DEBUG,
     settings.LogLevel.ERROR: logging.ERROR,
     settings.LogLevel.INFO: logging.INFO,
     settings.LogLevel.WARNING: logging.WARNING,
 }
+STANDARD_LEVELS = {
+    settings.LogLevel.DEBUG: standard_logging.DEBUG,
+    settings.LogLevel.ERROR: standard_logging.ERROR,
+    settings.LogLevel.INFO: standard_logging.INFO,
+    settings.LogLevel.WARNING: standard_logging.WARNING,
+}
 
 
 class JsonFormatter(standard_logging.Formatter):
@@ -40,15 +60,26 @@
             "data_centre": self._data_centre,
             "event": record.getMessage(),
         }
-        for name in ("request_id", "peer", "step"):
+        for name in FIELDS:
             value = getattr(record, name, None)
-            if value is not None:
+            if value is not None and value != "":
                 line[name] = value
         if record.exc_info:
             line["traceback"] = self.formatException(record.exc_info)
         return json.dumps(line)
 
 
+def fields(error: errors.RouterError, request_id: str = "") -> dict[str, str]:
+    """Return an error's fields, for the ``extra`` of a log call."""
+    return {
+        "code": error.code,
+        "outcome": error.outcome.value,
+        "peer": error.peer,
+        "request_id": request_id,
+        "step": error.step.value,
+    }
+
+
 def configure(config: settings.Settings) -> None:
     """Send all logs to standard error as JSON lines."""
     flags.FLAGS([dragonflyshelf.__name__])
--- a/dragonflyshelf/runtime/messages.py
+++ b/dragonflyshelf/runtime/messages.py
@@ -6,6 +6,7 @@
 from dragonflyshelf.core import errors
 from dragonflyshelf.core import ids
 from dragonflyshelf.core import messages
+from dragonflyshelf.core import states
 from dragonflyshelf.runtime import inbox
 
 
@@ -55,6 +56,7 @@
 
     exchange: ids.ExchangeId
     target: inbox.Inbox
+    priority: states.Priority | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/dragonflyshelf/runtime/peers/coordinator.py
+++ b/dragonflyshelf/runtime/peers/coordinator.py
@@ -17,6 +17,7 @@
 from dragonflyshelf.runtime.peers import link
 from dragonflyshelf.runtime import sockets
 from dragonflyshelf.runtime import task
+from dragonflyshelf.runtime.timeline import clock
 
 _LOGGER = logging.get_absl_logger()
 
@@ -81,6 +82,7 @@
         self._links: set[link.PeerLinkTask] = set()
         self._server: asyncio.Server | None = None
         self.inboxes_by_type: dict[type, inbox.Inbox] = {}
+        self.clock = clock.ProcessClock()
         self.port = 0
 
     async def async_listen(self, host: str, port: int) -> None:
@@ -106,6 +108,7 @@
             self._next_exchange,
             dialled,
         )
+        created.clock = self.clock
         self._links.add(created)
         return created
 
--- a/dragonflyshelf/runtime/peers/link.py
+++ b/dragonflyshelf/runtime/peers/link.py
@@ -24,6 +24,7 @@
 from dragonflyshelf.runtime import messages as runtime_messages
 from dragonflyshelf.runtime import sockets
 from dragonflyshelf.runtime import task
+from dragonflyshelf.runtime.timeline import clock
 
 _LOGGER = logging.get_absl_logger()
 
@@ -94,9 +95,11 @@
         self._targets_by_exchange: dict[ids.ExchangeId, inbox.Inbox | None] = (
             {}
         )
+        self._early_by_exchange: dict[ids.ExchangeId, list[Any]] = {}
         self._streams_by_exchange: dict[ids.ExchangeId, int] = {}
         self._exchanges_by_stream: dict[int, ids.ExchangeId] = {}
         self._next_stream = 1 if dialled else 2
+        self.clock = clock.ProcessClock()
         self.peer = ids.InstanceId("")
 
     @task.handles(sockets.SocketOpened)
@@ -111,7 +114,9 @@
 
     @task.handles(sockets.DataReceived)
     def _on_data(self, message: sockets.DataReceived) -> None:
-        for one in self._decoder.receive(message.data):
+        found = self._decoder.receive(message.data)
+        self.clock.observe(self._decoder.stamp)
+        for one in found:
             self._on_frame(one)
 
     @task.handles(sockets.EndReceived)
@@ -158,18 +163,19 @@
         )
         message.origin.post(
             runtime_messages.Attached(
-                exchange=message.exchange, target=self.inbox
+                exchange=message.exchange,
+                target=self.inbox,
+                priority=message.admitted.priority,
             )
         )
 
     @task.handles(runtime_messages.Attached)
     def _on_attached(self, message: runtime_messages.Attached) -> None:
-        if message.exchange in self._targets_by_exchange:
-            self._targets_by_exchange[message.exchange] = message.target
-            stream = self._streams_by_exchange[message.exchange]
-            self._send(
-                messages.Credit(exchange=ids.ExchangeId(stream), size=0)
-            )
+        if message.exchange not in self._targets_by_exchange:
+            return
+        self._targets_by_exchange[message.exchange] = message.target
+        for early in self._early_by_exchange.pop(message.exchange, ()):
+            message.target.post(early)
 
     @task.handles(messages.BodyChunk)
     def _on_body(self, message: messages.BodyChunk) -> None:
@@ -229,7 +235,7 @@
 
     def _send(self, message: Any) -> None:
         if self._transport is not None:
-            self._transport.write(codec.encode(message))
+            self._transport.write(codec.encode(message, self.clock.tick()))
 
     def _send_on(self, message: Any) -> None:
         stream = self._streams_by_exchange.get(message.exchange)
@@ -292,9 +298,12 @@
         if isinstance(message, messages.Cancel):
             self._end_incoming(exchange, cancelled=True)
             return
+        own = dataclasses.replace(message, exchange=exchange)
         target = self._targets_by_exchange.get(exchange)
         if target is not None:
-            target.post(dataclasses.replace(message, exchange=exchange))
+            target.post(own)
+            return
+        self._early_by_exchange.setdefault(exchange, []).append(own)
 
     def _on_outgoing_frame(
         self, stream: int, outgoing: OutgoingStream, message: Any
@@ -366,6 +375,7 @@
         if exchange not in self._targets_by_exchange:
             return
         del self._targets_by_exchange[exchange]
+        self._early_by_exchange.pop(exchange, None)
         stream = self._streams_by_exchange.pop(exchange)
         del self._exchanges_by_stream[stream]
         self._router.post(
--- a/dragonflyshelf/runtime/server.py
+++ b/dragonflyshelf/runtime/server.py
@@ -21,6 +21,8 @@
 from dragonflyshelf.runtime.peers import coordinator as peers
 from dragonflyshelf.runtime.platform import coordinator as platform
 from dragonflyshelf.runtime.router import coordinator as router
+from dragonflyshelf.runtime.timeline import clock
+from dragonflyshelf.runtime.timeline import coordinator as timeline
 
 _LOGGER = logging.get_absl_logger()
 
@@ -74,6 +76,13 @@
             control_task.inbox,
             router_task.next_exchange,
         )
+        process_clock = clock.ProcessClock()
+        peers_task.clock = process_clock
+        timeline_task = timeline.TimelineTask(
+            config, incarnation, process_clock
+        )
+        control_task.timeline_inbox = timeline_task.inbox
+        router_task.timeline_inbox = timeline_task.inbox
         router_task.control_inbox = control_task.inbox
         router_task.peers_inbox = peers_task.inbox
         control_task.peers_inbox = peers_task.inbox
@@ -88,6 +97,7 @@
         await callers.async_listen(host, config.listen.caller_port)
         for one in (
             watch,
+            timeline_task,
             writes,
             grants_task,
             router_task,
--- a/dragonflyshelf/runtime/sockets.py
+++ b/dragonflyshelf/runtime/sockets.py
@@ -2,10 +2,14 @@
 
 import asyncio
 import dataclasses
-from typing import cast
+import socket
+import struct
+from typing import cast, Final
 
 from dragonflyshelf.runtime import inbox
 
+RESET_AT_ONCE: Final = struct.pack("ii", 1, 0)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class SocketOpened:
@@ -81,3 +85,33 @@
     def resume_writing(self) -> None:
         """Tell the owner to go on."""
         self._owner.post(_WRITE_RESUMED)
+
+
+def is_full(transport: asyncio.Transport | None) -> bool:
+    """Tell whether ``WriteResumed`` is still to come.
+
+    It is exact where the messages lag behind what was just written.
+    """
+    if transport is None:
+        return False
+    _, high = transport.get_write_buffer_limits()
+    return transport.get_write_buffer_size() > high
+
+
+def reset(transport: asyncio.Transport) -> None:
+    """Drop a transport so that the other side sees a broken connection.
+
+    An orderly end would look like the end of an answer without length.
+    """
+    bound = transport.get_extra_info("socket")
+    if bound is not None and not transport.is_closing():
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_ONCE)
+    transport.abort()
+
+
+def close_within(transport: asyncio.Transport, seconds: float) -> None:
+    """Close a transport; drop it if its buffer does not empty in time."""
+    if transport.get_write_buffer_size() > 0:
+        loop = asyncio.get_running_loop()
+        loop.call_later(seconds, transport.abort)
+    transport.close()
--- a/dragonflyshelf/runtime/tables.py
+++ b/dragonflyshelf/runtime/tables.py
@@ -2,3 +2,4 @@
 
 import dragonflyshelf.core.configuration.diagnostics  # noqa: F401
 import dragonflyshelf.core.limits.diagnostics  # noqa: F401
+import dragonflyshelf.core.timeline.diagnostics  # noqa: F401
--- /dev/null
+++ b/dragonflyshelf/runtime/timeline/__init__.py
@@ -0,0 +1,1 @@
+"""Time line of the process."""
--- a/dragonflyshelf/runtime/upstreams/connection.py
+++ b/dragonflyshelf/runtime/upstreams/connection.py
@@ -63,7 +63,6 @@
         self._answered = False
         self._status = 0
         self._unacknowledged = 0
-        self._write_paused = False
         self._owed_credit = 0
         self._timer: asyncio.TimerHandle | None = None
 
@@ -154,11 +153,10 @@
 
     @task.handles(sockets.WritePaused)
     def _on_write_paused(self, message: sockets.WritePaused) -> None:
-        self._write_paused = True
+        """Hold back credit while the transport is full."""
 
     @task.handles(sockets.WriteResumed)
     def _on_write_resumed(self, message: sockets.WriteResumed) -> None:
-        self._write_paused = False
         self._return_credit(0)
 
     def on_failure(self) -> None:
@@ -185,7 +183,9 @@
         assert attempt is not None
         attempt.origin.post(
             runtime_messages.Attached(
-                exchange=attempt.exchange, target=self.inbox
+                exchange=attempt.exchange,
+                target=self.inbox,
+                priority=attempt.admitted.priority,
             )
         )
         headers = [(one.name, one.value) for one in attempt.head.headers]
@@ -198,6 +198,8 @@
                 headers=headers,
             )
         )
+        if not attempt.head.has_body:
+            self._write(h11.EndOfMessage())
 
     def _own_headers(
         self, attempt: runtime_messages.StartExchange
@@ -245,6 +247,9 @@
         assert attempt is not None
         exchange = attempt.exchange
         if isinstance(event, h11.Response):
+            if not http.is_framed(attempt.head.method, event):
+                self._fail_broken("answer has neither length nor chunks")
+                return
             self._answered = True
             self._status = event.status_code
             attempt.origin.post(
@@ -276,7 +281,9 @@
     def _return_credit(self, size: int) -> None:
         self._owed_credit += size
         attempt = self._attempt
-        if self._write_paused or not self._owed_credit or attempt is None:
+        if not self._owed_credit or attempt is None:
+            return
+        if sockets.is_full(self._transport):
             return
         attempt.origin.post(
             messages.Credit(exchange=attempt.exchange, size=self._owed_credit)
--- a/tests/codec/test_peer.py
+++ b/tests/codec/test_peer.py
@@ -84,3 +84,15 @@
         decoder = peer.FrameDecoder()
         with pytest.raises(errors.BadRequest):
             decoder.receive(b"\xff\xff\xff\xff")
+
+
+class TestStamp:
+    """Frames carry the causal stamp of their sender."""
+
+    def test_highest(self) -> None:
+        """The decoder keeps the highest stamp of all frames."""
+        decoder = peer.FrameDecoder()
+        end = messages.BodyEnd(exchange=EXCHANGE)
+        decoder.receive(peer.encode(end, ids.Stamp(2**60)))
+        decoder.receive(peer.encode(end, ids.Stamp(5)))
+        assert decoder.stamp == 2**60
--- /dev/null
+++ b/tests/runtime/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of callers' connections."""
--- /dev/null
+++ b/tests/runtime/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the links between instances."""
--- /dev/null
+++ b/tests/runtime/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of connections to upstreams."""
