--- a/dragonflyshelf/codec/grants.py
+++ b/dragonflyshelf/codec/grants.py
@@ -19,13 +19,19 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class GrantBody:
-    """What a leader grants, for ``ttl_ms`` from receipt."""
+    """What a leader grants, for at most ``ttl_ms`` from receipt.
+
+    It ends earlier at ``until_ms`` of the upstream's own clock, and has
+    no effect but for the term on a process with another start id.
+    """
 
     service: ids.ServiceName
     instance: ids.InstanceId
     term: ids.Term
     ttl_ms: int
     shards: tuple[messages.ShardEpoch, ...]
+    start_id: ids.StartId = ids.StartId("")
+    until_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -40,10 +46,11 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class GrantAnswer:
-    """The upstream's start and the highest term it has seen."""
+    """The upstream's start, the highest term it has seen, its clock."""
 
     start_id: ids.StartId
     term: ids.Term
+    clock_ms: int = 0
 
 
 def encode_grant(grant: messages.SendGrant, instance: ids.InstanceId) -> bytes:
@@ -55,6 +62,8 @@
             term=grant.term,
             ttl_ms=int(grant.ttl * MILLISECONDS),
             shards=grant.shards,
+            start_id=grant.start_id,
+            until_ms=grant.until_ms,
         )
     )
 
--- a/dragonflyshelf/core/control/coordinator.py
+++ b/dragonflyshelf/core/control/coordinator.py
@@ -90,7 +90,7 @@
         self, event: platform.ChangesWatched, now: ids.Instant
     ) -> Effects:
         if event.since > self.relay.position:
-            return []
+            return self.relay.watch_again()
         applied = self._replica.apply(event.events)
         batch = relay.Batch(
             since=event.since,
@@ -189,7 +189,7 @@
     def _on_applied(
         self, applied: replica.Applied, now: ids.Instant
     ) -> Effects:
-        if not applied.objects:
+        if not applied.changed:
             return []
         effects: Effects = self.membership.handle_view(now)
         if not applied.structural:
--- a/dragonflyshelf/core/control/replica.py
+++ b/dragonflyshelf/core/control/replica.py
@@ -14,12 +14,15 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Applied:
-    """What a batch of events has changed.
+    """A batch of events, and what it has changed here.
 
-    ``structural`` tells that more than renewals has changed.
+    ``objects`` is the whole batch, because a receiver may lack what an
+    own update has brought here before. ``structural`` tells that more
+    than renewals has changed.
     """
 
     objects: tuple[relay.RelayedObject, ...]
+    changed: bool
     structural: bool
 
 
@@ -41,21 +44,24 @@
     def apply(self, events: tuple[Event, ...]) -> Applied:
         """Take in events in the order of the store."""
         found = []
+        changed = False
+        structural = False
         for event in events:
             renewal = self._is_renewal(event)
             if self._view.apply(event):
-                found.append(
-                    relay.RelayedObject(
-                        kind=event.key.kind,
-                        name=event.key.name,
-                        version=event.version,
-                        value=getattr(event, "value", None),
-                        renewal=renewal,
-                    )
+                changed = True
+                structural = structural or not renewal
+            found.append(
+                relay.RelayedObject(
+                    kind=event.key.kind,
+                    name=event.key.name,
+                    version=event.version,
+                    value=getattr(event, "value", None),
+                    renewal=renewal,
                 )
+            )
         return Applied(
-            objects=tuple(found),
-            structural=any(not one.renewal for one in found),
+            objects=tuple(found), changed=changed, structural=structural
         )
 
     def apply_state(self, state: relay.RelayedState) -> Applied:
@@ -76,9 +82,9 @@
         if not isinstance(value, objects.Roster):
             return False
         known = self._view.get(event.key.kind, event.key.name)
-        return known is not None and _structure(known.value) == _structure(
-            value
-        )
+        if known is None or known.version >= event.version:
+            return False
+        return _structure(known.value) == _structure(value)
 
 
 def _structure(roster: objects.Roster) -> objects.Roster:
--- a/dragonflyshelf/core/membership/coordinator.py
+++ b/dragonflyshelf/core/membership/coordinator.py
@@ -65,6 +65,7 @@
         self._next_write_by_id: dict[ids.DataCentreId, ids.Instant] = {}
         self._unreleased: set[ids.InstanceId] = set()
         self._orphaned_at: ids.Instant | None = None
+        self._direct_only = False
         self.lease_until = ids.Instant(0.0)
 
     @property
@@ -402,6 +403,7 @@
         )
 
     def _maintain(self, now: ids.Instant) -> Effects:
+        self._direct_only = False
         self._given.drop_ended(now)
         self._collector.forget_absent(
             {objects.remover_of(one) for one in self.members()}
@@ -468,8 +470,6 @@
     ) -> Effects:
         if self._given.any_in(roster.data_centre, now):
             return []
-        if self.lease_until > self._lease.direct_until:
-            return []
         wanted = appointments.appoint(
             roster, self._rosters(), self._config.removers
         )
@@ -477,6 +477,9 @@
         own = objects.remover_of(self.own)
         if wanted == roster.removers or not alive or alive[0] != own:
             return []
+        if self.lease_until > self._lease.direct_until:
+            self._direct_only = True
+            return []
         return [
             self._writes.administer(
                 dataclasses.replace(
@@ -491,7 +494,7 @@
         if not self._joined or self._leaving:
             return []
         until = self._lease.direct_until
-        if not self._writes.any_undecided():
+        if not self._direct_only and not self._writes.any_undecided():
             roster = self._roster(self._data_centre)
             promised = self._lease.promised_until(roster)
             step = ids.Instant(now + self._config.lease)
--- a/dragonflyshelf/core/ownership/coordinator.py
+++ b/dragonflyshelf/core/ownership/coordinator.py
@@ -110,7 +110,7 @@
         self, event: messages.GrantAnswered, now: ids.Instant
     ) -> Effects:
         """Take in the answer to a grant."""
-        if not self._led.on_answer(event):
+        if not self._led.on_answer(event, now):
             return []
         return [
             messages.UpstreamStarted(
--- a/dragonflyshelf/core/ownership/grants.py
+++ b/dragonflyshelf/core/ownership/grants.py
@@ -15,7 +15,8 @@
     """Renews grants while the own lease runs.
 
     A grant never outlives the lease of its giver, and leaves out the
-    shards that are sealed.
+    shards that are sealed. The first one has no shards: it claims the
+    term and learns the start id and the clock of the upstream.
     """
 
     def __init__(
@@ -43,7 +44,7 @@
             for segment in self._view.values(states.ObjectKind.SEGMENT)
             for leader in segment.leaders
             if self._is_due(leader, now)
-            for grant in self._grant(segment, leader, ttl)
+            for grant in self._grant(segment, leader, ttl, now)
         ]
 
     def _is_due(self, leader: objects.Leadership, now: ids.Instant) -> bool:
@@ -59,14 +60,17 @@
         segment: objects.Segment,
         leader: objects.Leadership,
         ttl: float,
+        now: ids.Instant,
     ) -> list[messages.SendGrant]:
         known = self._view.get(states.ObjectKind.UPSTREAM, leader.upstream)
         if known is None:
             return []
+        led = self._led.led_by_upstream[leader.upstream]
         shards = tuple(
             messages.ShardEpoch(shard=one.shard, epoch=one.epoch)
             for one in segment.assignments
             if one.upstream == leader.upstream
+            and led.start_id
             and fences.ShardKey(
                 service=segment.service, shard=one.shard, epoch=one.epoch
             )
@@ -81,5 +85,7 @@
                 term=leader.term,
                 ttl=ttl,
                 shards=shards,
+                start_id=led.start_id,
+                until_ms=self._led.grant_end(leader.upstream, ttl, now),
             )
         ]
--- a/dragonflyshelf/core/ownership/leading.py
+++ b/dragonflyshelf/core/ownership/leading.py
@@ -7,6 +7,8 @@
 from dragonflyshelf.core.ownership import objects
 from dragonflyshelf.core import settings
 
+MILLISECONDS = 1000
+
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Led:
@@ -27,6 +29,8 @@
     reached: bool = False
     granted_before: ids.Instant = ids.Instant(0.0)
     start_id: ids.StartId = ids.StartId("")
+    clock_ms: int = 0
+    clock_at: ids.Instant = ids.Instant(0.0)
 
 
 class LedUpstreams:
@@ -82,7 +86,22 @@
         for led in self.led_by_upstream.values():
             led.next_grant = ids.Instant(0.0)
 
-    def on_answer(self, event: messages.GrantAnswered) -> bool:
+    def grant_end(
+        self, upstream: ids.UpstreamId, ttl: float, now: ids.Instant
+    ) -> int:
+        """Return the end of a grant by the upstream's clock, in ms.
+
+        The result is 0 for an upstream that tells no clock.
+        """
+        led = self.led_by_upstream[upstream]
+        if led.clock_ms == 0:
+            return 0
+        passed = (now - led.clock_at) / self._margin
+        return led.clock_ms + int((passed + ttl) * MILLISECONDS)
+
+    def on_answer(
+        self, event: messages.GrantAnswered, now: ids.Instant
+    ) -> bool:
         """Take in an answer; return whether the upstream started anew."""
         led = self.led_by_upstream.get(event.upstream)
         if led is None or led.term != event.given_term:
@@ -94,9 +113,12 @@
             return False
         led.reached = True
         led.heard_at = max(led.heard_at, event.sent_at)
+        led.clock_ms = event.clock_ms
+        led.clock_at = now
         if not event.start_id or event.start_id == led.start_id:
             return False
         led.start_id = event.start_id
+        led.next_grant = now
         return True
 
     def is_lost(self, upstream: ids.UpstreamId, now: ids.Instant) -> bool:
--- a/dragonflyshelf/core/ownership/messages.py
+++ b/dragonflyshelf/core/ownership/messages.py
@@ -15,7 +15,12 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class SendGrant:
-    """Effect: renew the grants of one upstream; ``ttl`` in seconds."""
+    """Effect: renew the grants of one upstream; ``ttl`` in seconds.
+
+    ``until_ms`` is the end by the clock of the upstream's process that
+    has this start id, so that a grant which arrives late is not longer.
+    Both are empty until that clock is known.
+    """
 
     upstream: ids.UpstreamId
     service: ids.ServiceName
@@ -24,6 +29,8 @@
     term: ids.Term
     ttl: float
     shards: tuple[ShardEpoch, ...]
+    start_id: ids.StartId = ids.StartId("")
+    until_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -33,7 +40,8 @@
     ``term`` is the highest that the upstream has seen; ``sent_at`` is
     the instant at which the grant was sent. ``reached`` tells that the
     upstream answered at all, as one that checks no grants may do, and
-    ``undelivered`` that the grant surely did not arrive.
+    ``undelivered`` that the grant surely did not arrive. ``clock_ms``
+    is the upstream's own clock, 0 if it tells none.
     """
 
     upstream: ids.UpstreamId
@@ -45,6 +53,7 @@
     given_term: ids.Term = ids.Term(0)
     reached: bool = False
     undelivered: bool = False
+    clock_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/dragonflyshelf/core/platform/relay.py
+++ b/dragonflyshelf/core/platform/relay.py
@@ -130,6 +130,12 @@
         """Take in that the view was up to date at an instant."""
         self.fresh_at = max(self.fresh_at, as_of)
 
+    def watch_again(self) -> Effects:
+        """Watch from the own position, after a gap."""
+        if not self.watching:
+            return []
+        return [SwitchWatch(enabled=True, since=self.position)]
+
     def restart(self, position: ids.Version) -> None:
         """Take over the position of a whole list."""
         self.position = max(self.position, position)
--- a/dragonflyshelf/runtime/grants/coordinator.py
+++ b/dragonflyshelf/runtime/grants/coordinator.py
@@ -121,10 +121,12 @@
         sent_at: ids.Instant,
         answer: http_client.HttpAnswer,
     ) -> None:
-        start_id, term, error = ids.StartId(""), ids.Term(0), ""
+        start_id, term, clock_ms = ids.StartId(""), ids.Term(0), 0
+        error = ""
         try:
             answered = codec.decode_answer(answer.body)
             start_id, term = answered.start_id, answered.term
+            clock_ms = answered.clock_ms
         except msgspec.DecodeError as failure:
             error = str(failure)
         self._control.post(
@@ -137,5 +139,6 @@
                 error=error,
                 given_term=grant.term,
                 reached=True,
+                clock_ms=clock_ms,
             )
         )
--- a/stand_ins/fences.py
+++ b/stand_ins/fences.py
@@ -18,13 +18,19 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Grant:
-    """A leader's right to send, for some shards, for ``ttl_ms``."""
+    """A leader's right to send, for some shards, for ``ttl_ms``.
+
+    With a start id it ends at ``until_ms`` of that process's clock at
+    the latest, however late it arrives.
+    """
 
     service: str
     instance: str
     term: int
     ttl_ms: int
     shards: tuple[ShardEpoch, ...] = ()
+    start_id: str = ""
+    until_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -64,7 +70,11 @@
         if grant.term < self.term:
             return False
         self.term = grant.term
+        if grant.start_id and grant.start_id != self.start_id:
+            return True
         self.until = now + grant.ttl_ms / 1000
+        if grant.until_ms:
+            self.until = min(self.until, grant.until_ms / 1000)
         for one in grant.shards:
             present = self.granted_by_shard.get(one.shard)
             if present is None or present.epoch <= one.epoch:
--- a/stand_ins/upstream.py
+++ b/stand_ins/upstream.py
@@ -130,7 +130,11 @@
         return self._fence_answer(self.fences.release(release))
 
     def _fence_answer(self, accepted: bool) -> Answer:
-        value = {"start_id": self.fences.start_id, "term": self.fences.term}
+        value = {
+            "start_id": self.fences.start_id,
+            "term": self.fences.term,
+            "clock_ms": int(time.monotonic() * 1000),
+        }
         return STATUS_OK if accepted else STATUS_CONFLICT, value
 
     @CONTROLS.register("/health")
