--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -224,6 +224,7 @@
         for process in self.processes_by_name.values():
             process.send_signal(signal.SIGCONT)
             process.send_signal(signal.SIGTERM)
+            process.send_signal(signal.SIGINT)
         for process in self.processes_by_name.values():
             try:
                 process.wait(STOP_SECONDS)
--- a/dragonflyshelf/cli/main.py
+++ b/dragonflyshelf/cli/main.py
@@ -15,6 +15,7 @@
 
 EXIT_FAILURE = 1
 EXIT_USAGE = 2
+EXIT_CUT = 3
 
 
 def read_settings(path: pathlib.Path) -> settings.Settings:
@@ -45,7 +46,9 @@
     """
     config = read_settings(path)
     logs.configure(config)
-    asyncio.run(server.async_main(config))
+    cut = asyncio.run(server.async_main(config))
+    if cut.requests:
+        raise SystemExit(EXIT_CUT)
 
 
 def version() -> None:
--- a/dragonflyshelf/core/settings.py
+++ b/dragonflyshelf/core/settings.py
@@ -168,6 +168,7 @@
     """Section ``shutdown``: graceful end of the process."""
 
     deadline: Annotated[float, SECONDS] = 20.0
+    handover: Annotated[float, SECONDS] = 5.0
     settle: Annotated[
         float, ranges.Range(minimum=0, maximum=600, unit="s")
     ] = 0.5
--- a/dragonflyshelf/runtime/callers/connection.py
+++ b/dragonflyshelf/runtime/callers/connection.py
@@ -200,6 +200,8 @@
     def on_end(self) -> None:
         """Close the socket and tell the listener."""
         self._timer.cancel()
+        if self._exchange.answering:
+            self._wire.abort()
         self._wire.close()
         self._listener.post(caller_messages.ConnectionEnded(inbox=self.inbox))
 
--- a/dragonflyshelf/runtime/callers/listener.py
+++ b/dragonflyshelf/runtime/callers/listener.py
@@ -36,7 +36,7 @@
         private: bool = False,
     ) -> None:
         """Create the listener; it binds in ``async_listen``."""
-        super().__init__("caller-listener")
+        super().__init__("private-listener" if private else "caller-listener")
         self._config = config
         self._router = router
         self._next_exchange = next_exchange
@@ -45,6 +45,8 @@
             inbox.Inbox, connection.CallerConnectionTask
         ] = {}
         self._server: asyncio.Server | None = None
+        self._leaving = False
+        self._drain_reply: inbox.Inbox | None = None
         self.port = 0
 
     async def async_listen(self, host: str, port: int) -> None:
@@ -70,6 +72,8 @@
         if over >= 0:
             error = errors.TooManyConnections("too many connections")
             accepted.inbox.post(messages.RefuseConnection(error=error))
+        if self._leaving:
+            accepted.inbox.post(messages.LeaveConnection())
         self._connections_by_inbox[accepted.inbox] = accepted
         accepted.start()
         return sockets.SocketProtocol(accepted.inbox)
@@ -77,21 +81,31 @@
     @task.handles(messages.ConnectionEnded)
     def _on_connection_ended(self, message: messages.ConnectionEnded) -> None:
         self._connections_by_inbox.pop(message.inbox, None)
+        self._report_if_drained()
 
-    @property
-    def connections(self) -> int:
-        """Return the number of open connections."""
-        return len(self._connections_by_inbox)
-
-    def leave(self) -> None:
-        """Ask every caller to open no further request here."""
+    @task.handles(messages.LeaveCallers)
+    def _on_leave(self, message: messages.LeaveCallers) -> None:
+        self._leaving = True
         self._tell_all(messages.LeaveConnection())
 
-    def drain(self) -> None:
-        """Stop accepting and let every connection end."""
+    @task.handles(messages.DrainCallers)
+    def _on_drain(self, message: messages.DrainCallers) -> None:
         if self._server is not None:
             self._server.close()
         self._tell_all(messages.DrainConnection())
+        self._drain_reply = message.reply_to
+        self._report_if_drained()
+
+    @property
+    def connections(self) -> int:
+        """Return the number of open connections."""
+        return len(self._connections_by_inbox)
+
+    def _report_if_drained(self) -> None:
+        if self._drain_reply is None or self._connections_by_inbox:
+            return
+        self._drain_reply.post(messages.CallersDrained())
+        self._drain_reply = None
 
     def _tell_all(
         self, message: messages.DrainConnection | messages.LeaveConnection
--- a/dragonflyshelf/runtime/callers/messages.py
+++ b/dragonflyshelf/runtime/callers/messages.py
@@ -6,6 +6,23 @@
 from dragonflyshelf.runtime import inbox
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CallersDrained:
+    """The listener is closed and its last connection has ended."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class DrainCallers:
+    """Stop to accept, and end every connection after its exchange."""
+
+    reply_to: inbox.Inbox
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LeaveCallers:
+    """Ask every caller to send its next requests elsewhere."""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class ConnectionEnded:
     """A connection task tells the listener that it has ended."""
--- a/tests/runtime/callers/fakes.py
+++ b/tests/runtime/callers/fakes.py
@@ -11,6 +11,7 @@
 from dragonflyshelf.core import messages
 from dragonflyshelf.core import settings
 from dragonflyshelf.runtime.callers import listener
+from dragonflyshelf.runtime.callers import messages as callers
 from dragonflyshelf.runtime import inbox
 from dragonflyshelf.runtime import messages as runtime_messages
 
@@ -66,6 +67,7 @@
         numbers = itertools.count(1)
         self.router = inbox.Inbox("router")
         self.target = inbox.Inbox("target")
+        self.drained = inbox.Inbox("drained")
         self.listener = listener.CallerListenerTask(
             config,
             self.router,
@@ -96,6 +98,12 @@
         assert isinstance(message, runtime_messages.ExchangeEnded), message
         return message
 
+    async def async_drain(self) -> None:
+        """Tell the listener to end; its connections know it after."""
+        self.listener.inbox.post(callers.DrainCallers(reply_to=self.drained))
+        while self.listener.inbox:
+            await asyncio.sleep(0)
+
     def attach(self, arrival: runtime_messages.ArriveExchange) -> None:
         """Make the test's target the target of an exchange."""
         arrival.origin.post(
--- a/tests/runtime/callers/test_connection.py
+++ b/tests/runtime/callers/test_connection.py
@@ -626,7 +626,7 @@
                     client.send(GET)
                     fakes.answer(await front.async_arrival(), b"one")
                     await client.async_until(b"one")
-                    front.listener.drain()
+                    await front.async_drain()
                     assert await client.async_rest() == b""
 
         asyncio.run(async_run())
@@ -639,7 +639,7 @@
                 async with front.async_client() as client:
                     client.send(GET)
                     arrival = await front.async_arrival()
-                    front.listener.drain()
+                    await front.async_drain()
                     fakes.answer(arrival, b"one")
                     found = await client.async_rest()
                     assert found.endswith(b"one")
@@ -659,7 +659,7 @@
                     await front.async_end()
                     client.send(GET[:5])
                     await asyncio.sleep(0.05)
-                    front.listener.drain()
+                    await front.async_drain()
                     client.send(GET[5:])
                     fakes.answer(await front.async_arrival(), b"two")
                     assert (await client.async_rest()).endswith(b"two")
