Queue, choose and try again at the right instance

Cause: requests went to upstreams without a bound on what runs there, urgent work waited behind patient work, counting was linear, a failed attempt was never tried again, and a refusal by a fence reached the caller as an answer. Leaders now keep a gate for each upstream (slots, ramp after a cold start, measured latency, ejection up to a share) and bounded queues (urgent first with a floor, weighted deficit round robin among workspaces, deadlines). Requests without key are queued for the whole service at one leader, which chooses by exact counts; round_robin and power_of_two stay as baselines. The instance of the caller judges failed attempts: not-run ones are routed anew, unknown ones only if they are idempotent, within a budget.

--- a/dragonflyshelf/codec/http.py
+++ b/dragonflyshelf/codec/http.py
@@ -57,6 +57,7 @@
 METHOD_HEAD = b"HEAD"
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
 MILLISECONDS = 1000
+NOT_RUN_STATUSES = frozenset({409, 429, 503})
 REASONS = {
     400: b"Bad Request",
     401: b"Unauthorized",
@@ -228,6 +229,14 @@
     return kind(text, outcome=outcome)
 
 
+def says_not_run(event: h11.Response) -> bool:
+    """Tell whether an upstream's answer says that nothing was run."""
+    if event.status_code not in NOT_RUN_STATUSES:
+        return False
+    not_run = states.Outcome.NOT_RUN.value.encode()
+    return (HEADER_OUTCOME, not_run) in list(event.headers)
+
+
 def answer_headers(
     headers: list[tuple[bytes, bytes]],
 ) -> tuple[messages.Header, ...]:
--- a/dragonflyshelf/core/configuration/view.py
+++ b/dragonflyshelf/core/configuration/view.py
@@ -109,6 +109,25 @@
         self.routes_by_service: dict[ids.ServiceName, ServiceRoutes] = {}
         self.upstreams_by_id: dict[ids.UpstreamId, objects.Upstream] = {}
         self.workspaces_by_id: dict[ids.WorkspaceId, objects.Workspace] = {}
+        self._closed_data_centres: frozenset[ids.DataCentreId] = frozenset()
+        self._usable_by_service: dict[
+            ids.ServiceName, list[objects.Upstream]
+        ] = {}
+
+    def usable_upstreams(
+        self, service: ids.ServiceName
+    ) -> list[objects.Upstream]:
+        """Return the upstreams that may be given new work without key."""
+        return self._usable_by_service.get(service, [])
+
+    def _is_usable(self, upstream: objects.Upstream) -> bool:
+        leader = self.leaders_by_upstream.get(upstream.name)
+        return (
+            leader is not None
+            and leader.upstream_state is states.UpstreamState.UP
+            and upstream.state is states.AdminState.IN_SERVICE
+            and upstream.data_centre not in self._closed_data_centres
+        )
 
     def rebuild(self, view: ObjectView) -> None:
         """Take over everything from the object view."""
@@ -138,6 +157,15 @@
             service.name: self._routes(service, segments)
             for service in view.values(kinds.SERVICE)
         }
+        self._closed_data_centres = frozenset(
+            one.name
+            for one in view.values(kinds.DATA_CENTRE)
+            if one.state is not states.AdminState.IN_SERVICE
+        )
+        self._usable_by_service = {
+            name: [one for one in found.upstreams if self._is_usable(one)]
+            for name, found in self.routes_by_service.items()
+        }
 
     def _routes(
         self, service: objects.Service, segments: list[ownership.Segment]
--- a/dragonflyshelf/core/dispatch/messages.py
+++ b/dragonflyshelf/core/dispatch/messages.py
@@ -7,6 +7,7 @@
 from dragonflyshelf.core import ids
 from dragonflyshelf.core.limits import messages as limits
 from dragonflyshelf.core import messages
+from dragonflyshelf.core.ownership import messages as ownership
 from dragonflyshelf.core.timeline import events
 
 
@@ -153,4 +154,5 @@
     | TimePassed
     | UnsealShard
     | limits.LimitReceived
+    | ownership.UpstreamStarted
 )
--- a/dragonflyshelf/core/errors.py
+++ b/dragonflyshelf/core/errors.py
@@ -154,6 +154,11 @@
     """No link to the other instance is open."""
 
 
+@error_code("DS116", 503, states.Step.RECEIVE)
+class UpstreamRefused(RouterError):
+    """The upstream says that it did not run the request."""
+
+
 @error_code("DS120", 431, states.Step.PARSE)
 class HeadTooLarge(RouterError):
     """The head of the request is over its bounds."""
--- a/dragonflyshelf/core/ownership/planner.py
+++ b/dragonflyshelf/core/ownership/planner.py
@@ -59,8 +59,10 @@
     ) -> objects.Segment:
         """Return the segment as it should become next."""
         upstreams = known.upstreams_by_service.get(service.name, ())
-        leaders = plan_leaders(present, upstreams, known)
-        if service.key_source is states.KeySource.NONE:
+        keyed = service.key_source is not states.KeySource.NONE
+        group = "" if keyed else service.name
+        leaders = plan_leaders(present, upstreams, known, group)
+        if not keyed:
             return dataclasses.replace(present, leaders=leaders)
         budget = self._budget_by_service.setdefault(
             service.name, ChurnBudget(self._config)
@@ -133,8 +135,13 @@
     present: objects.Segment,
     upstreams: tuple[configuration.Upstream, ...],
     known: topology.Topology,
+    group: str = "",
 ) -> tuple[objects.Leadership, ...]:
-    """Return the leaders, changed only where they must be."""
+    """Return the leaders, changed only where they must be.
+
+    A ``group`` has one leader for all of its upstreams, so that the
+    counts by which a request without key is given a slot are exact.
+    """
     owning = {one.upstream for one in present.assignments}
     names = {one.name for one in upstreams}
     by_upstream = {one.upstream: one for one in present.leaders}
@@ -143,9 +150,10 @@
     planned = [
         _plan_leader(
             ids.UpstreamId(name),
-            homes.get(name),
+            None if group else homes.get(name),
             by_upstream.get(name),
             known,
+            group or name,
         )
         for name in wanted
     ]
@@ -157,8 +165,9 @@
     home: ids.DataCentreId | None,
     present: objects.Leadership | None,
     known: topology.Topology,
+    subject: str,
 ) -> objects.Leadership | None:
-    chosen = _choose_leader(upstream, home, known)
+    chosen = _choose_leader(subject, home, known)
     if chosen is None:
         return present
     if present is not None and known.is_member(
@@ -175,7 +184,7 @@
 
 
 def _choose_leader(
-    upstream: ids.UpstreamId,
+    subject: str,
     home: ids.DataCentreId | None,
     known: topology.Topology,
 ) -> ids.InstanceId | None:
@@ -183,7 +192,7 @@
     near = [one for one in names if known.homes_by_instance[one] == home]
     if not names:
         return None
-    return ids.InstanceId(placement.heaviest(near or names, upstream))
+    return ids.InstanceId(placement.heaviest(near or names, subject))
 
 
 def succeed(
--- a/dragonflyshelf/core/settings.py
+++ b/dragonflyshelf/core/settings.py
@@ -139,6 +139,48 @@
     silence_timeout: Annotated[float, SECONDS] = 5.0
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class AdmissionSettings:
+    """Section ``admission``: queues and ramps at the leaders."""
+
+    queue_entries: Annotated[int, ranges.Range(minimum=1, maximum=100000)] = (
+        512
+    )
+    patient_floor: Annotated[float, ranges.Range(minimum=0, maximum=0.9)] = 0.1
+    latency_memory: Annotated[float, SECONDS] = 1.0
+    eject_after: Annotated[int, ranges.Range(minimum=1, maximum=1000)] = 3
+    ejection: Annotated[float, SECONDS] = 1.0
+    ejected_share: Annotated[float, ranges.Range(minimum=0, maximum=1)] = 0.34
+    ramp: Annotated[float, SECONDS] = 5.0
+    ramp_first_rate: Annotated[
+        float, ranges.Range(minimum=0.1, maximum=1000000)
+    ] = 10.0
+    ramp_last_rate: Annotated[
+        float, ranges.Range(minimum=0.1, maximum=1000000)
+    ] = 500.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class DispatchSettings:
+    """Section ``dispatch``: choice among upstreams."""
+
+    choice: str = "least_loaded"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RetrySettings:
+    """Section ``retries``: how often a request is tried again.
+
+    ``share`` is in retries for each request, ``reserve`` in retries;
+    ``longest_wait`` bounds the wait for an owner or a leader.
+    """
+
+    attempts: Annotated[int, ranges.Range(minimum=1, maximum=100)] = 3
+    longest_wait: Annotated[float, SECONDS] = 3.0
+    reserve: Annotated[float, ranges.Range(minimum=0, maximum=100000)] = 20.0
+    share: Annotated[float, ranges.Range(minimum=0, maximum=1)] = 0.1
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class LimitSettings:
     """Section ``limits``: how rates and bursts are counted."""
@@ -186,6 +228,8 @@
     """All settings of one process."""
 
     instance: InstanceSettings
+    admission: AdmissionSettings = AdmissionSettings()
+    dispatch: DispatchSettings = DispatchSettings()
     limits: LimitSettings = LimitSettings()
     listen: ListenSettings = ListenSettings()
     log: LogSettings = LogSettings()
@@ -193,6 +237,7 @@
     ownership: OwnershipSettings = OwnershipSettings()
     platform: PlatformSettings = PlatformSettings()
     requests: RequestSettings = RequestSettings()
+    retries: RetrySettings = RetrySettings()
     shutdown: ShutdownSettings = ShutdownSettings()
     timeline: TimelineSettings = TimelineSettings()
     upstreams: UpstreamSettings = UpstreamSettings()
--- a/dragonflyshelf/runtime/router/coordinator.py
+++ b/dragonflyshelf/runtime/router/coordinator.py
@@ -13,6 +13,7 @@
 from dragonflyshelf.core import ids
 from dragonflyshelf.core.limits import messages as limits
 from dragonflyshelf.core import messages
+from dragonflyshelf.core.ownership import messages as ownership
 from dragonflyshelf.core import registry
 from dragonflyshelf.core import settings
 from dragonflyshelf.core.timeline import events
@@ -145,6 +146,10 @@
     def _on_unseal(self, message: dispatch.UnsealShard) -> None:
         self._run(message)
 
+    @task.handles(ownership.UpstreamStarted)
+    def _on_started(self, message: ownership.UpstreamStarted) -> None:
+        self._run(message)
+
     @task.handles(runtime_messages.TableWanted)
     def _on_table(self, message: runtime_messages.TableWanted) -> None:
         sources = diagnostics.RouterSources(
--- a/dragonflyshelf/runtime/upstreams/connection.py
+++ b/dragonflyshelf/runtime/upstreams/connection.py
@@ -61,6 +61,7 @@
         self._attempt: runtime_messages.StartExchange | None = None
         self._sent = False
         self._answered = False
+        self._refused = False
         self._status = 0
         self._unacknowledged = 0
         self._owed_credit = 0
@@ -250,6 +251,9 @@
             if not http.is_framed(attempt.head.method, event):
                 self._fail_broken("answer has neither length nor chunks")
                 return
+            if http.says_not_run(event):
+                self._refused = True
+                return
             self._answered = True
             self._status = event.status_code
             attempt.origin.post(
@@ -261,7 +265,10 @@
                 )
             )
         elif isinstance(event, h11.Data):
-            self._on_answer_data(bytes(event.data))
+            if not self._refused:
+                self._on_answer_data(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage) and self._refused:
+            self._finish_refused()
         elif isinstance(event, h11.EndOfMessage):
             attempt.origin.post(messages.AnswerEnd(exchange=exchange))
             self._finish()
@@ -304,6 +311,15 @@
         self._attempt = None
         self._finish_if_done()
 
+    def _finish_refused(self) -> None:
+        self._report(
+            errors.UpstreamRefused(
+                "the upstream did not run the request", peer=self._upstream
+            )
+        )
+        self._attempt = None
+        self._finish_if_done()
+
     def _finish_if_done(self) -> None:
         if self._attempt is not None:
             return
@@ -316,6 +332,7 @@
         self._http.start_next_cycle()
         self._sent = False
         self._answered = False
+        self._refused = False
         self._unacknowledged = 0
         self._owed_credit = 0
         self._transport.resume_reading()
@@ -323,7 +340,7 @@
 
     def _fail_broken(self, text: str) -> None:
         outcome = states.Outcome.NOT_RUN
-        if self._sent:
+        if self._sent and not self._refused:
             outcome = states.Outcome.UNKNOWN
         self._fail(
             errors.UpstreamFailed(text, peer=self._upstream, outcome=outcome)
