Build one executable file that starts no child process

Cause: there was no binary. A file of pex was tried first: strace shows that its start runs uname, ldd and interpreters of its own as children, at the first start (also to make a virtual environment) and, without one, at later starts; so it breaks the rule that a process starts no other. A file of shiv unpacks and imports in its own process: strace shows one execve and no clone at the first and at later starts. SHIV_ROOT sets the folder.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 STAMP = $(VENV)/.installed
 
-.PHONY: setup format lint test demo bench bench-full soak
+.PHONY: setup format lint test demo bench bench-full soak binary binary-test
 
 SECONDS = 60
 SEED = 1
@@ -35,3 +35,9 @@
 
 soak: $(STAMP)
 	$(VENV)/bin/python -m bench.soak --seconds $(SECONDS) --seed $(SEED)
+
+binary: $(STAMP)
+	$(VENV)/bin/python -m tools.binary dist/dragonflyshelf
+
+binary-test: $(STAMP)
+	$(VENV)/bin/python -m pytest tests/tools
--- /dev/null
+++ b/tests/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the tools of the build."""
--- /dev/null
+++ b/tests/tools/test_binary.py
@@ -0,0 +1,108 @@
+"""Tests of the one executable file."""
+
+import asyncio
+from collections import abc
+import dataclasses
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+
+import pytest
+
+from bench import cluster as clusters
+from dragonflyshelf.runtime import http_client
+from tools import binary
+
+CHILD_FAULTS = 8
+"""Index, after the name in ``stat``, of the faults of ended children."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Started:
+    """A running instance and its ports."""
+
+    process: subprocess.Popen[bytes]
+    caller_port: int
+    operator_port: int
+
+
+def settings_text(ports: list[int]) -> str:
+    """Return the settings of one instance alone."""
+    return (
+        "[instance]\nname = solo\ndata_centre = local\n[listen]\n"
+        f"caller_port = {ports[0]}\npeer_port = {ports[1]}\n"
+        f"operator_port = {ports[2]}\n"
+    )
+
+
+@pytest.fixture(scope="module")
+def executable(
+    tmp_path_factory: pytest.TempPathFactory,
+) -> pathlib.Path:
+    """Build the file once."""
+    path = tmp_path_factory.mktemp("dist") / "dragonflyshelf"
+    binary.build(path)
+    return path
+
+
+@pytest.fixture
+def started(
+    executable: pathlib.Path, tmp_path: pathlib.Path
+) -> abc.Iterator[Started]:
+    """Run the file by an interpreter without any library."""
+    ports = clusters.free_ports(3)
+    path = tmp_path / "solo.ini"
+    path.write_text(settings_text(ports), encoding="utf-8")
+    interpreter = getattr(sys, "_base_executable", sys.executable)
+    process = subprocess.Popen(
+        [interpreter, "-S", str(executable), "serve", str(path)],
+        cwd=tmp_path,
+        env={**os.environ, "SHIV_ROOT": str(tmp_path / "unpacked")},
+        stderr=subprocess.DEVNULL,
+    )
+    yield Started(
+        process=process, caller_port=ports[0], operator_port=ports[2]
+    )
+    process.kill()
+    process.wait()
+
+
+async def async_wait_ready(started: Started) -> None:
+    """Wait until the instance is ready."""
+    async with asyncio.timeout(clusters.READY_SECONDS):
+        while not await clusters.async_is_ready(started.operator_port):
+            assert started.process.poll() is None
+            await asyncio.sleep(clusters.READY_POLL_SECONDS)
+
+
+async def async_status(port: int) -> int:
+    """Return the status of a request to a service that is not there."""
+    async with http_client.async_open(clusters.HOST, port) as client:
+        return (await client.async_call("GET", "/none/1")).status
+
+
+def children(process: subprocess.Popen[bytes]) -> str:
+    """Return the ids of the present children."""
+    tasks = pathlib.Path(f"/proc/{process.pid}/task")
+    return "".join((one / "children").read_text() for one in tasks.iterdir())
+
+
+def faults_of_children(process: subprocess.Popen[bytes]) -> int:
+    """Return a count that is above 0 once any child has ended."""
+    text = pathlib.Path(f"/proc/{process.pid}/stat").read_text()
+    return int(text.rpartition(")")[2].split()[CHILD_FAULTS])
+
+
+class TestExecutable:
+    """One file serves, in one process."""
+
+    def test_serves_in_one_process(self, started: Started) -> None:
+        """It unpacks, serves and ends without any child process."""
+        asyncio.run(async_wait_ready(started))
+        assert asyncio.run(async_status(started.caller_port)) == 404
+        assert children(started.process) == ""
+        assert faults_of_children(started.process) == 0
+        started.process.send_signal(signal.SIGTERM)
+        assert started.process.wait(clusters.READY_SECONDS) == 0
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools of the build."""
