--- a/dragonflyshelf/runtime/inbox.py
+++ b/dragonflyshelf/runtime/inbox.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+from collections import abc
 import dataclasses
 from typing import Any
 
@@ -23,16 +24,20 @@
 
     ``post`` never waits, so a sender cannot be blocked by a slow reader;
     a full inbox raises ``InboxFull`` and the sender decides what to shed.
+    The first message wakes the reader in the next turn of the loop, and
+    the reader takes all that are there.
     """
 
-    __slots__ = ("_limit", "_messages", "_waiter", "name")
+    __slots__ = ("_limit", "_loop", "_messages", "_reader", "_woken", "name")
 
     def __init__(self, name: str, limit: int = DEFAULT_INBOX_MESSAGES) -> None:
         """Create an empty inbox; the limit is in messages."""
         self.name = name
         self._limit = limit
         self._messages: collections.deque[Any] = collections.deque()
-        self._waiter: asyncio.Future[None] | None = None
+        self._loop: asyncio.AbstractEventLoop | None = None
+        self._reader: abc.Callable[[], None] | None = None
+        self._woken = False
 
     def __len__(self) -> int:
         """Return the number of waiting messages."""
@@ -43,19 +48,30 @@
         if len(self._messages) >= self._limit:
             raise errors.InboxFull("inbox is full", peer=self.name)
         self._messages.append(message)
-        waiter = self._waiter
-        if waiter is not None and not waiter.done():
-            waiter.set_result(None)
+        if not self._woken and self._loop is not None:
+            self._woken = True
+            self._loop.call_soon(self._wake)
 
     def pop(self) -> Any:
         """Remove and return the oldest message."""
         return self._messages.popleft()
 
-    async def async_wait(self) -> None:
-        """Wait until there is a message."""
-        while not self._messages:
-            self._waiter = asyncio.get_running_loop().create_future()
-            try:
-                await self._waiter
-            finally:
-                self._waiter = None
+    def attach(self, reader: abc.Callable[[], None]) -> None:
+        """Call the reader in the running loop when messages wait."""
+        self._loop = asyncio.get_running_loop()
+        self._reader = reader
+        if self._messages:
+            self._woken = True
+            self._loop.call_soon(self._wake)
+
+    def detach(self) -> None:
+        """Wake no reader any more; messages are kept."""
+        self._loop = None
+        self._reader = None
+
+    def _wake(self) -> None:
+        try:
+            if self._reader is not None:
+                self._reader()
+        finally:
+            self._woken = False
