--- a/dragonflyshelf/runtime/inbox.py
+++ b/dragonflyshelf/runtime/inbox.py
@@ -69,6 +69,16 @@
         self._loop = None
         self._reader = None
 
+    async def async_wait(self) -> None:
+        """Wait until there is a message, for a reader without a task."""
+        while not self._messages:
+            arrived = asyncio.Event()
+            self.attach(arrived.set)
+            try:
+                await arrived.wait()
+            finally:
+                self.detach()
+
     def _wake(self) -> None:
         try:
             if self._reader is not None:
