--- a/dragonflyshelf/runtime/task.py
+++ b/dragonflyshelf/runtime/task.py
@@ -47,7 +47,7 @@
         """Create a task that does not run yet."""
         self.inbox = inbox.Inbox(name, limit)
         self.stopped = False
-        self._ended: asyncio.Future[None] | None = None
+        self._runner_end: asyncio.Future[None] | None = None
         self._runner: asyncio.Task[None] | None = None
         self._bound_by_type = {
             kind: getattr(self, method)
@@ -93,10 +93,10 @@
             await self.async_join()
 
     async def _async_run(self) -> None:
-        self._ended = asyncio.get_running_loop().create_future()
+        self._runner_end = asyncio.get_running_loop().create_future()
         self.inbox.attach(self._read)
         try:
-            await self._ended
+            await self._runner_end
         finally:
             self.inbox.detach()
             self.on_end()
@@ -104,9 +104,9 @@
     def _read(self) -> None:
         while self.inbox and not self.stopped:
             self._handle(self.inbox.pop())
-        if self.stopped and self._ended is not None:
-            if not self._ended.done():
-                self._ended.set_result(None)
+        if self.stopped and self._runner_end is not None:
+            if not self._runner_end.done():
+                self._runner_end.set_result(None)
 
     def _handle(self, message: Any) -> None:
         handler = self._bound_by_type.get(type(message))
