Serve queries and commands on the operators' listener

Cause: the language had no way in, and the demo set objects by direct updates of the platform. The control task plans commands on its view; an update whose answer was lost is resolved before the operator hears anything, and what stays open is told as unknown. wait asks every member of the rosters, as the same operator, until each has applied the version in its control and router tasks, and names those that have not. Accepted and refused commands and changes in force are events of the time line. The tests of the whole instance take the caller key from the grant now, because the demo no longer has a fixed one; what they check is the same.

--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -110,6 +110,7 @@
         """Draw ports; nothing runs yet."""
         self.description = description
         self.folder = folder
+        self.caller_key = ""
         self.processes_by_name: dict[str, subprocess.Popen[bytes]] = {}
         services = len(description.services)
         upstreams = description.upstreams_per_service * services
--- a/bench/demo.py
+++ b/bench/demo.py
@@ -9,17 +9,12 @@
 import tabulate
 
 from bench import cluster as clusters
-from dragonflyshelf.codec import http as codec
-from dragonflyshelf.codec import objects as objects_codec
-from dragonflyshelf.core.configuration import objects
 from dragonflyshelf.core import ids
-from dragonflyshelf.core import settings
-from dragonflyshelf.core import states
 from dragonflyshelf.runtime import http_client
-from dragonflyshelf.runtime.platform import http as platform
+from dragonflyshelf.runtime.operators import client
 
-CALLER_KEY = "demo-caller-key"
 CONNECTIONS_PER_INSTANCE = 4
+KEY_ID = "demo-1"
 REQUESTS_PER_CONNECTION = 50
 SERVICE = ids.ServiceName("letters")
 SETTLE_SECONDS = 20.0
@@ -36,86 +31,61 @@
     crossed: int = 0
 
 
-async def async_configure(cluster: clusters.Cluster) -> None:
-    """Create service, workspace, caller key and upstreams."""
-    values = [
-        (
-            states.ObjectKind.SERVICE,
-            objects.Service(
-                name=SERVICE, key_source=states.KeySource.PATH, shards=64
-            ),
-        ),
-        (
-            states.ObjectKind.WORKSPACE,
-            objects.Workspace(name=WORKSPACE, rate=20000, burst=20000),
-        ),
-        (
-            states.ObjectKind.CALLER_KEY,
-            objects.CallerKey(
-                key_id=ids.CallerKeyId("demo-1"),
-                digest=codec.digest_key(CALLER_KEY.encode()),
-                workspace=WORKSPACE,
-            ),
+async def async_configure(cluster: clusters.Cluster) -> str:
+    """Create all objects by operators' commands; return the caller key."""
+    texts = [
+        f"create service {SERVICE} key_source path shards 64",
+        f"create workspace {WORKSPACE} rate 20000 burst 20000",
+        *(
+            f"create upstream {one.name} service {one.service}"
+            f' host "{clusters.HOST}" port {one.port}'
+            f" data_centre {one.data_centre}"
+            f" fenced {'yes' if one.fenced else 'no'}"
+            for one in cluster.upstreams
         ),
     ]
-    for one in cluster.upstreams:
-        values.append(
-            (
-                states.ObjectKind.UPSTREAM,
-                objects.Upstream(
-                    name=ids.UpstreamId(one.name),
-                    service=ids.ServiceName(one.service),
-                    host=clusters.HOST,
-                    port=one.port,
-                    data_centre=ids.DataCentreId(one.data_centre),
-                    fenced=one.fenced,
-                ),
-            )
-        )
-    client = platform.create(
-        settings.PlatformSettings(port=cluster.platform_port)
-    )
-    for kind, value in values:
-        name = getattr(value, "name", None) or value.key_id
-        await client.async_put(
-            kind,
-            ids.ObjectName(name),
-            ids.Version(0),
-            ids.WriteId(f"demo-{name}"),
-            objects_codec.to_plain(value),
+    port = cluster.instances[0].operator_port
+    async with client.async_open(clusters.HOST, port) as operator:
+        for text in texts:
+            await operator.async_command(text)
+        granted = await operator.async_command(
+            f"grant key {KEY_ID} to {WORKSPACE}"
         )
-    client.close()
+        await operator.async_query(f"wait for key {KEY_ID}")
+    return granted.caller_key
 
 
-async def async_settle(cluster: clusters.Cluster) -> None:
+async def async_settle(cluster: clusters.Cluster, caller_key: str) -> None:
     """Wait until every instance answers a request."""
     async with asyncio.timeout(SETTLE_SECONDS):
         for instance in cluster.instances:
-            while not await _async_answers(instance.caller_port):
+            while not await _async_answers(instance.caller_port, caller_key):
                 await asyncio.sleep(clusters.READY_POLL_SECONDS)
 
 
-async def _async_answers(port: int) -> bool:
-    async with http_client.async_open(clusters.HOST, port) as client:
-        answer = await client.async_call(
+async def _async_answers(port: int, caller_key: str) -> bool:
+    async with http_client.async_open(clusters.HOST, port) as http:
+        answer = await http.async_call(
             "GET",
             f"/{SERVICE}/settle",
-            headers=(("x-caller-key", CALLER_KEY),),
+            headers=(("x-caller-key", caller_key),),
         )
         return answer.status == STATUS_OK
 
 
-async def async_load(port: int, name: str, tally: Tally) -> None:
+async def async_load(
+    port: int, name: str, caller_key: str, tally: Tally
+) -> None:
     """Send requests one after the other on one connection."""
-    async with http_client.async_open(clusters.HOST, port) as client:
+    async with http_client.async_open(clusters.HOST, port) as http:
         for number in range(REQUESTS_PER_CONNECTION):
             request_id = f"{name}-{number}"
             method = "POST" if number % 2 else "GET"
-            answer = await client.async_call(
+            answer = await http.async_call(
                 method,
                 f"/{SERVICE}/child-{number}",
                 headers=(
-                    ("x-caller-key", CALLER_KEY),
+                    ("x-caller-key", caller_key),
                     ("x-request-id", request_id),
                 ),
             )
@@ -131,8 +101,8 @@
     """Return every run of every upstream."""
     runs = []
     for one in cluster.upstreams:
-        async with http_client.async_open(clusters.HOST, one.port) as client:
-            answer = await client.async_call("GET", "/_account")
+        async with http_client.async_open(clusters.HOST, one.port) as http:
+            answer = await http.async_call("GET", "/_account")
             for run in json.loads(answer.body):
                 runs.append({**run, "upstream": one.name})
     return runs
@@ -141,13 +111,16 @@
 async def async_main(cluster: clusters.Cluster) -> int:
     """Run the demo and return the exit status."""
     await cluster.async_wait_ready()
-    await async_configure(cluster)
-    await async_settle(cluster)
+    caller_key = await async_configure(cluster)
+    await async_settle(cluster, caller_key)
     tally = Tally(by_status=collections.Counter(), answered=[])
     await asyncio.gather(
         *(
             async_load(
-                instance.caller_port, f"{instance.name}-{number}", tally
+                instance.caller_port,
+                f"{instance.name}-{number}",
+                caller_key,
+                tally,
             )
             for instance in cluster.instances
             for number in range(CONNECTIONS_PER_INSTANCE)
--- a/dragonflyshelf/core/configuration/view.py
+++ b/dragonflyshelf/core/configuration/view.py
@@ -76,6 +76,15 @@
         known = self.get(kind, name)
         return known.version if known else ids.Version(0)
 
+    def applied_version(self, key: messages.ObjectKey) -> ids.Version:
+        """Return the version at which an object is known here.
+
+        An object that was never seen is known not to exist as of the
+        version of the view.
+        """
+        known = self._known_by_key.get(key)
+        return known.version if known else self.version
+
     def values(self, kind: states.ObjectKind) -> list[Any]:
         """Return all values of a kind in the order of their names."""
         found = [
--- a/dragonflyshelf/core/control/coordinator.py
+++ b/dragonflyshelf/core/control/coordinator.py
@@ -3,6 +3,7 @@
 from collections import abc
 from typing import Any
 
+from dragonflyshelf.core.configuration import events
 from dragonflyshelf.core.configuration import view
 from dragonflyshelf.core.control import messages
 from dragonflyshelf.core.control import replica
@@ -194,6 +195,10 @@
         effects: Effects = self.membership.handle_view(now)
         if not applied.structural:
             return effects
+        for one in applied.objects:
+            effects += events.in_force(
+                one.kind, one.name, one.version, one.value
+            )
         own = self.membership.own
         effects += self.ownership.handle_view(own, now)
         effects.append(messages.ViewChanged())
--- a/dragonflyshelf/runtime/control/coordinator.py
+++ b/dragonflyshelf/runtime/control/coordinator.py
@@ -15,8 +15,10 @@
 from dragonflyshelf.core import settings
 from dragonflyshelf.runtime.control import effects
 from dragonflyshelf.runtime.control import messages
+from dragonflyshelf.runtime.control import operators
 from dragonflyshelf.runtime import inbox
 from dragonflyshelf.runtime import messages as runtime_messages
+from dragonflyshelf.runtime.operators import messages as operators_messages
 from dragonflyshelf.runtime.peers import link
 from dragonflyshelf.runtime import task
 
@@ -40,6 +42,7 @@
         super().__init__("control")
         self.view = view.ObjectView()
         self._core = coordinator.ControlCoordinator(config, own, self.view)
+        self._waiters = operators.InForceWaiters(self.view)
         self.router_inbox = router_inbox
         self.writes_inbox = writes_inbox
         self.watch_inbox = watch_inbox
@@ -122,6 +125,28 @@
             runtime_messages.TableAnswer(table=message.table, rows=rows)
         )
 
+    @task.handles(operators_messages.PlanWanted)
+    def _on_plan(self, message: operators_messages.PlanWanted) -> None:
+        operators.plan(message, self.view)
+
+    @task.handles(operators_messages.ExplainWanted)
+    def _on_explain(self, message: operators_messages.ExplainWanted) -> None:
+        operators.explained(message, self.view)
+
+    @task.handles(operators_messages.VersionWanted)
+    def _on_version(self, message: operators_messages.VersionWanted) -> None:
+        version = self.view.applied_version(message.key)
+        message.reply_to.post(operators_messages.InForce(version=version))
+
+    @task.handles(operators_messages.InForceWanted)
+    def _on_in_force(self, message: operators_messages.InForceWanted) -> None:
+        self._waiters.add(message)
+
+    @task.handles(operators_messages.ForgetWaiter)
+    def _on_forget(self, message: operators_messages.ForgetWaiter) -> None:
+        self._waiters.forget(message)
+
     def _run(self, event: Any) -> None:
         for effect in self._core.handle(event, self.now):
             effects.EFFECTS.get(type(effect))(self, effect)
+        self._waiters.on_view()
--- a/dragonflyshelf/runtime/server.py
+++ b/dragonflyshelf/runtime/server.py
@@ -19,6 +19,7 @@
 from dragonflyshelf.runtime.grants import coordinator as grants
 from dragonflyshelf.runtime.operators import coordinator as operators
 from dragonflyshelf.runtime.operators import diagnostics
+from dragonflyshelf.runtime.operators import session
 from dragonflyshelf.runtime.peers import coordinator as peers
 from dragonflyshelf.runtime.platform import coordinator as platform
 from dragonflyshelf.runtime.router import coordinator as router
@@ -84,7 +85,9 @@
         writes = platform.PlatformWriteTask(config.platform)
         serving: list[Server] = []
         operators_listener = operators.OperatorsListener(
-            lambda: bool(serving) and serving[0].ready
+            lambda: bool(serving) and serving[0].ready,
+            config,
+            incarnation,
         )
         host = config.listen.host
         await operators_listener.async_listen(
@@ -117,6 +120,12 @@
         )
         control_task.timeline_inbox = timeline_task.inbox
         router_task.timeline_inbox = timeline_task.inbox
+        operators_listener.inboxes = session.Inboxes(
+            control=control_task.inbox,
+            router=router_task.inbox,
+            timeline=timeline_task.inbox,
+            writes=writes.inbox,
+        )
         router_task.control_inbox = control_task.inbox
         router_task.peers_inbox = peers_task.inbox
         control_task.peers_inbox = peers_task.inbox
--- /dev/null
+++ b/tests/runtime/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of dragonflyshelf.runtime.operators."""
--- a/tests/runtime/test_server.py
+++ b/tests/runtime/test_server.py
@@ -19,7 +19,6 @@
 from dragonflyshelf.runtime import http_client
 from dragonflyshelf.runtime.platform import http as platform
 
-SECRET = "demo-caller-key"
 TAP = ids.ServiceName("tap")
 TAP_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
@@ -41,19 +40,21 @@
 async def async_prepare(cluster: clusters.Cluster) -> None:
     """Wait until both instances serve."""
     await cluster.async_wait_ready()
-    await demo.async_configure(cluster)
-    await demo.async_settle(cluster)
+    cluster.caller_key = await demo.async_configure(cluster)
+    await demo.async_settle(cluster, cluster.caller_key)
 
 
 async def async_call(
-    instance: clusters.InstanceAddress, target: str
+    cluster: clusters.Cluster, instance: clusters.InstanceAddress, target: str
 ) -> http_client.HttpAnswer:
     """Send one request on a connection of its own."""
     async with http_client.async_open(
         clusters.HOST, instance.caller_port
     ) as client:
         return await client.async_call(
-            "POST", target, headers=(("authorization", f"Bearer {SECRET}"),)
+            "POST",
+            target,
+            headers=(("authorization", f"Bearer {cluster.caller_key}"),),
         )
 
 
@@ -87,7 +88,9 @@
             await async_prepare(cluster)
             leaving = cluster.instances[0]
             calls = [
-                asyncio.create_task(async_call(leaving, f"/letters/{one}"))
+                asyncio.create_task(
+                    async_call(cluster, leaving, f"/letters/{one}")
+                )
                 for one in range(6)
             ]
             await async_wait_runs(cluster, len(calls))
@@ -100,7 +103,9 @@
                 process.wait, clusters.READY_SECONDS
             )
             assert status == 0
-            other = await async_call(cluster.instances[1], "/letters/1")
+            other = await async_call(
+                cluster, cluster.instances[1], "/letters/1"
+            )
             assert other.status == clusters.STATUS_OK
 
         with running(1.0, "") as cluster:
@@ -119,7 +124,7 @@
             process.send_signal(signal.SIGTERM)
             await async_wait_line(cluster, "shutdown began")
             assert not await clusters.async_is_ready(leaving.operator_port)
-            answer = await async_call(leaving, "/letters/1")
+            answer = await async_call(cluster, leaving, "/letters/1")
             assert answer.status == clusters.STATUS_OK
 
         with running(0.0, "[shutdown]\nsettle = 600\n") as cluster:
@@ -131,7 +136,9 @@
         async def async_run(cluster: clusters.Cluster) -> None:
             await async_prepare(cluster)
             leaving = cluster.instances[0]
-            call = asyncio.create_task(async_call(leaving, "/letters/1"))
+            call = asyncio.create_task(
+                async_call(cluster, leaving, "/letters/1")
+            )
             await async_wait_runs(cluster, 1)
             process = cluster.processes_by_name[leaving.name]
             process.send_signal(signal.SIGTERM)
@@ -212,11 +219,11 @@
             async with server, asyncio.timeout(clusters.READY_SECONDS):
                 for instance in cluster.instances:
                     while True:
-                        answer = await async_call(instance, "/tap/1")
+                        answer = await async_call(cluster, instance, "/tap/1")
                         if answer.status == clusters.STATUS_OK:
                             break
                         await asyncio.sleep(clusters.READY_POLL_SECONDS)
-                    await async_call(instance, "/none/1")
+                    await async_call(cluster, instance, "/none/1")
             found = [tap.seen]
             for instance in cluster.instances:
                 async with http_client.async_open(
@@ -236,4 +243,4 @@
                 path.read_bytes() for path in sorted(cluster.folder.iterdir())
             ]
             assert b"request ended" in b"".join(outputs)
-            assert SECRET.encode() not in seen + b"".join(outputs)
+            assert cluster.caller_key.encode() not in seen + b"".join(outputs)
