--- a/dragonflyshelf/core/membership/coordinator.py
+++ b/dragonflyshelf/core/membership/coordinator.py
@@ -433,15 +433,19 @@
     def _administer(self, roster: objects.Roster, now: ids.Instant) -> Effects:
         own = objects.remover_of(self.own)
         patience = roster.removers.index(own) * self._config.stagger / 2
-        gone = [
+        lapsed = [
             one
             for one in roster.members
             if objects.remover_of(one) != own
             and self._seen.lapsed_for(one, now) > patience
-            and not self._given.runs_for(one, now)
         ]
-        if gone:
-            kept = tuple(one for one in roster.members if one not in gone)
+        gone = [one for one in lapsed if not self._given.runs_for(one, now)]
+        kept = tuple(
+            dataclasses.replace(one, silent=one.silent or one in lapsed)
+            for one in roster.members
+            if one not in gone
+        )
+        if kept != roster.members:
             write = self._writes.administer(
                 dataclasses.replace(roster, members=kept)
             )
--- a/dragonflyshelf/core/membership/objects.py
+++ b/dragonflyshelf/core/membership/objects.py
@@ -11,7 +11,10 @@
 
     ``renewal`` is the number of the last renewal that reached the
     platform, so that a watcher sees the lease run on without comparing
-    clocks. One that is ``leaving`` hands over what it leads.
+    clocks. One that is ``leaving`` hands over what it leads. One that is
+    ``silent`` has not renewed for longer than its lease, but may go on
+    by promises; an upstream that checks terms decides between it and a
+    successor.
     """
 
     instance: ids.InstanceId
@@ -21,6 +24,7 @@
     operator_port: int
     renewal: int = 0
     leaving: bool = False
+    silent: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/dragonflyshelf/core/membership/renewals.py
+++ b/dragonflyshelf/core/membership/renewals.py
@@ -60,7 +60,10 @@
         if request is None or request.renewal <= member.renewal:
             return member
         return dataclasses.replace(
-            member, renewal=request.renewal, leaving=request.leaving
+            member,
+            renewal=request.renewal,
+            leaving=request.leaving,
+            silent=False,
         )
 
     def lowest_rank(self, silence: float) -> int:
--- a/dragonflyshelf/core/ownership/coordinator.py
+++ b/dragonflyshelf/core/ownership/coordinator.py
@@ -84,14 +84,21 @@
         self._own = own
         self._topology_read = False
         self._check_epochs()
-        self._led.follow(self._own_leaderships(), now)
+        members = frozenset(
+            (one.instance, one.incarnation)
+            for roster in self._view.values(states.ObjectKind.ROSTER)
+            for one in roster.members
+        )
+        self._led.follow(self._own_leaderships(), members, now)
         self._led.hurry()
+        return [*self._follow_releases(now), *self._publish_held()]
+
+    def _publish_held(self) -> Effects:
         held = self.held()
-        effects: Effects = self._follow_releases(now)
-        if held != self._held:
-            self._held = held
-            effects.append(held)
-        return effects
+        if held == self._held:
+            return []
+        self._held = held
+        return [held]
 
     def handle_tick(
         self, lease_until: ids.Instant, now: ids.Instant
@@ -111,8 +118,9 @@
     ) -> Effects:
         """Take in the answer to a grant."""
         if not self._led.on_answer(event, now):
-            return []
+            return self._publish_held()
         return [
+            *self._publish_held(),
             messages.UpstreamStarted(
                 upstream=event.upstream, start_id=event.start_id
             ),
@@ -163,6 +171,8 @@
                 )
                 for leader in self._own_leaderships()
                 if not leader.next_instance
+                and leader.upstream in self._led.led_by_upstream
+                and not self._led.unproven(leader.upstream)
             )
         )
 
@@ -301,8 +311,8 @@
         if leader.next_instance and self._topology.serves(
             leader.next_instance
         ):
-            return planner.succeed(
-                leader, leader.upstream, leader.next_instance, self._topology
+            return planner.hand_over(
+                leader, leader.next_instance, self._topology
             )
         state = leader.upstream_state
         if self._led.is_lost(leader.upstream, now):
--- a/dragonflyshelf/core/ownership/leading.py
+++ b/dragonflyshelf/core/ownership/leading.py
@@ -1,6 +1,7 @@
 """What the leader of an upstream knows of it: grants, answers, starts."""
 
 import dataclasses
+import math
 
 from dragonflyshelf.core import ids
 from dragonflyshelf.core.ownership import messages
@@ -8,6 +9,7 @@
 from dragonflyshelf.core import settings
 
 MILLISECONDS = 1000
+NEVER = ids.Instant(-math.inf)
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -15,8 +17,9 @@
     """One upstream under one term of this instance.
 
     ``granted_at`` is the latest instant at which a grant was sent that
-    may have arrived; for the first term of a successor that is when it
-    began, because the predecessor's last grant may have been sent then.
+    may have arrived. A former leader that was removed has none left, as
+    no grant outlives the lease of its giver; one that handed over may
+    have sent its last just then.
     """
 
     term: ids.Term
@@ -27,6 +30,8 @@
     next_grant: ids.Instant
     waiting: bool = False
     reached: bool = False
+    contested: bool = False
+    claimed: bool = False
     granted_before: ids.Instant = ids.Instant(0.0)
     start_id: ids.StartId = ids.StartId("")
     clock_ms: int = 0
@@ -44,7 +49,10 @@
         self.led_by_upstream: dict[ids.UpstreamId, Led] = {}
 
     def follow(
-        self, leaderships: list[objects.Leadership], now: ids.Instant
+        self,
+        leaderships: list[objects.Leadership],
+        members: frozenset[tuple[ids.InstanceId, ids.Incarnation]],
+        now: ids.Instant,
     ) -> None:
         """Take over which leaderships this instance has."""
         present = self.led_by_upstream
@@ -52,6 +60,15 @@
             one.upstream: self._kept(present.get(one.upstream), one, now)
             for one in leaderships
         }
+        for one in leaderships:
+            former = (one.former, one.former_incarnation)
+            led = self.led_by_upstream[one.upstream]
+            led.contested = former in members
+
+    def unproven(self, upstream: ids.UpstreamId) -> bool:
+        """Tell whether a former leader may still be obeyed."""
+        led = self.led_by_upstream[upstream]
+        return led.contested and not led.claimed
 
     def _kept(
         self,
@@ -65,20 +82,24 @@
             term=leadership.term,
             since=now,
             succeeded=leadership.term > 1,
-            granted_at=now,
+            granted_at=now if leadership.former else NEVER,
             heard_at=now,
             next_grant=now,
         )
 
     def due(self, upstream: ids.UpstreamId, now: ids.Instant) -> bool:
-        """Tell whether a grant is to be sent now, and count it."""
+        """Tell whether a grant is to be sent now, and count it.
+
+        The first one has no shards and does not count.
+        """
         led = self.led_by_upstream[upstream]
         if led.waiting or now < led.next_grant:
             return False
         led.waiting = True
         led.next_grant = ids.Instant(now + self._config.grant_interval)
         led.granted_before = led.granted_at
-        led.granted_at = now
+        if led.start_id:
+            led.granted_at = now
         return True
 
     def hurry(self) -> None:
@@ -112,6 +133,7 @@
         if not event.reached:
             return False
         led.reached = True
+        led.claimed = led.claimed or event.accepted
         led.heard_at = max(led.heard_at, event.sent_at)
         led.clock_ms = event.clock_ms
         led.clock_at = now
--- a/dragonflyshelf/core/ownership/objects.py
+++ b/dragonflyshelf/core/ownership/objects.py
@@ -11,7 +11,8 @@
     """The instance that alone sends to an upstream.
 
     ``next_instance`` names the successor to which the leader is to hand
-    over.
+    over. ``former`` is a leader that was silent but not removed when it
+    was succeeded; the upstream has to refuse it before others may send.
     """
 
     upstream: ids.UpstreamId
@@ -20,6 +21,8 @@
     term: ids.Term
     upstream_state: states.UpstreamState = states.UpstreamState.UP
     next_instance: ids.InstanceId = ids.InstanceId("")
+    former: ids.InstanceId = ids.InstanceId("")
+    former_incarnation: ids.Incarnation = ids.Incarnation(0)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/dragonflyshelf/core/ownership/planner.py
+++ b/dragonflyshelf/core/ownership/planner.py
@@ -49,6 +49,9 @@
         """Create a planner."""
         self._config = config
         self._budget_by_service: dict[ids.ServiceName, ChurnBudget] = {}
+        self._usable_by_service: dict[
+            ids.ServiceName, tuple[frozenset[ids.UpstreamId], ids.Instant]
+        ] = {}
 
     def plan(
         self,
@@ -74,12 +77,33 @@
         placed = placement.BoundedPlacement(
             service.name, usable, service.shards, self._config.load_bound
         )
+        if not present.assignments and not self._settled(
+            service.name, usable, now
+        ):
+            return dataclasses.replace(present, leaders=leaders)
         assignments = plan_owners(present, service, usable, placed)
         assignments = self._balance(assignments, placed, budget)
         return dataclasses.replace(
             present, leaders=leaders, assignments=assignments
         )
 
+    def _settled(
+        self,
+        service: ids.ServiceName,
+        usable: frozenset[ids.UpstreamId],
+        now: ids.Instant,
+    ) -> bool:
+        """Tell whether a new service has all its upstreams already.
+
+        Operators create them one by one, and what is placed on the
+        first ones would have to move.
+        """
+        known, since = self._usable_by_service.get(service, (None, now))
+        if known != usable:
+            since = now
+        self._usable_by_service[service] = (usable, since)
+        return now - since >= self._config.placement_delay
+
     def _balance(
         self,
         assignments: tuple[objects.Assignment, ...],
@@ -146,11 +170,11 @@
     names = {one.name for one in upstreams}
     by_upstream = {one.upstream: one for one in present.leaders}
     wanted = sorted(names | (owning & by_upstream.keys()))
-    homes = {one.name: one.data_centre for one in upstreams}
+    configured = {one.name: one for one in upstreams}
     planned = [
         _plan_leader(
             ids.UpstreamId(name),
-            None if group else homes.get(name),
+            configured.get(name),
             by_upstream.get(name),
             known,
             group or name,
@@ -162,17 +186,26 @@
 
 def _plan_leader(
     upstream: ids.UpstreamId,
-    home: ids.DataCentreId | None,
+    configured: configuration.Upstream | None,
     present: objects.Leadership | None,
     known: topology.Topology,
     subject: str,
 ) -> objects.Leadership | None:
+    home = None
+    if configured is not None and subject == upstream:
+        home = configured.data_centre
     chosen = _choose_leader(subject, home, known)
     if chosen is None:
         return present
     if present is not None and known.is_member(
         present.instance, present.incarnation
     ):
+        if known.is_silent(present.instance, present.incarnation):
+            if configured is None or not configured.fenced:
+                return present
+            if known.is_member(present.former, present.former_incarnation):
+                return present
+            return hand_over(present, chosen, known)
         if known.serves(present.instance):
             return dataclasses.replace(
                 present, next_instance=ids.InstanceId("")
@@ -195,6 +228,19 @@
     return ids.InstanceId(placement.heaviest(near or names, subject))
 
 
+def hand_over(
+    present: objects.Leadership,
+    instance: ids.InstanceId,
+    known: topology.Topology,
+) -> objects.Leadership:
+    """Return the leadership after one whose leader may still run."""
+    return dataclasses.replace(
+        succeed(present, present.upstream, instance, known),
+        former=present.instance,
+        former_incarnation=present.incarnation,
+    )
+
+
 def succeed(
     present: objects.Leadership | None,
     upstream: ids.UpstreamId,
--- a/dragonflyshelf/core/ownership/releases.py
+++ b/dragonflyshelf/core/ownership/releases.py
@@ -97,7 +97,7 @@
     def is_over(self, key: fences.ShardKey, now: ids.Instant) -> bool:
         """Tell whether the next owner may be granted the shard."""
         release = self._by_key.get(key)
-        if release is None:
+        if release is None or self._led.unproven(release.upstream):
             return False
         if release.fenced:
             return release.acknowledged or self._expired(release, now)
--- a/dragonflyshelf/core/ownership/topology.py
+++ b/dragonflyshelf/core/ownership/topology.py
@@ -43,6 +43,16 @@
             and upstream.data_centre not in self.closed_data_centres
         )
 
+    def is_silent(
+        self, instance: ids.InstanceId, incarnation: ids.Incarnation
+    ) -> bool:
+        """Tell whether a member has not renewed for too long."""
+        return any(
+            one.silent
+            for one in self.members
+            if one.instance == instance and one.incarnation == incarnation
+        )
+
     def serves(self, instance: ids.InstanceId) -> bool:
         """Tell whether an instance may lead."""
         return any(one.instance == instance for one in self.serving)
@@ -79,6 +89,7 @@
             if one.instance not in closed_instances
             and homes[one.instance] not in closed
             and not one.leaving
+            and not one.silent
         ),
         homes_by_instance=homes,
         upstreams_by_service={
--- a/dragonflyshelf/core/platform/relay.py
+++ b/dragonflyshelf/core/platform/relay.py
@@ -15,8 +15,10 @@
 from dragonflyshelf.core import settings
 from dragonflyshelf.core import states
 
+FAR_SOURCES = 3
 LOG_BATCHES = 512
 MILLISECONDS = 1000
+NEAR_SOURCES = 3
 SUBSCRIPTION_HEARTBEATS = 6
 
 
@@ -113,7 +115,8 @@
         if self._heard_at is None:
             self._heard_at = now
         effects = self._choose_watch(now)
-        if self.watching or now < self._next_request:
+        stale = now - self.fresh_at > self._config.writer_silence
+        if now < self._next_request or (self.watching and not stale):
             return effects
         self._next_request = ids.Instant(now + self._config.heartbeat_interval)
         request = RelayRequest(instance=self._instance, position=self.position)
@@ -121,7 +124,7 @@
             *effects,
             *(
                 SendToInstance(instance=one, message=request)
-                for one in self._ranks()[: self._reach(now)]
+                for one in self._sources()[: self._reach(now)]
                 if one != self._instance
             ),
         ]
@@ -173,10 +176,11 @@
         """Take in a relayed state; return whether to apply it."""
         if state.since > self.position:
             return False
-        self._heard_at = now
+        as_of = ids.Instant(now - state.age_ms / MILLISECONDS)
+        if now - as_of < self._config.writer_silence:
+            self._heard_at = now
         if state.position < self.position:
             return False
-        as_of = ids.Instant(now - state.age_ms / MILLISECONDS)
         self.handle_fresh(as_of)
         self.position = state.position
         return True
@@ -205,6 +209,15 @@
             return []
         return [one.instance for one in known.value.members]
 
+    def _sources(self) -> list[ids.InstanceId]:
+        """Return whom to ask: the own data centre, then others."""
+        others = [
+            roster.members[0].instance
+            for roster in self._view.values(states.ObjectKind.ROSTER)
+            if roster.data_centre != self._data_centre and roster.members
+        ]
+        return [*self._ranks()[:NEAR_SOURCES], *others[:FAR_SOURCES]]
+
     def _since(self, position: ids.Version) -> Batch:
         if position >= self.position:
             return Batch(
@@ -264,11 +277,15 @@
     ) -> bool:
         """Tell whether an instance needs a change.
 
-        Renewals of other data centres concern only their removers.
+        Renewals of other data centres concern their members, which may be
+        cut off there, and their removers.
         """
         value = changed.value
         if not isinstance(value, objects.Roster):
             return True
         if value.data_centre == self._data_centre or not changed.renewal:
             return True
-        return any(one.instance == instance for one in value.removers)
+        return any(
+            one.instance == instance
+            for one in (*value.removers, *value.members)
+        )
--- a/tests/core/control/test_history.py
+++ b/tests/core/control/test_history.py
@@ -36,6 +36,7 @@
             self.kill_upstream,
             self.lose_answers,
             self.lose_messages,
+            self.outage_then_isolation,
             self.partition,
             self.pause_instance,
             self.platform_out,
@@ -157,6 +158,20 @@
         faults.platform_out = True
         self._for_a_while(setattr, faults, "platform_out", False)
 
+    def outage_then_isolation(self) -> None:
+        """Cut an instance off from all while the platform comes back."""
+        name = self._instance()
+        pairs = {(name, one) for one in HOMES} | {(one, name) for one in HOMES}
+        faults = self.world.faults
+        faults.platform_out = True
+        wait = self.random.uniform(1.5, 4)
+        self.world.later(wait, setattr, faults, "platform_out", False)
+        self.world.later(wait, faults.cut_from_platform.add, name)
+        self.world.later(wait, faults.cut_pairs.update, pairs)
+        end = wait + self.random.uniform(1, 6)
+        self.world.later(end, faults.cut_from_platform.discard, name)
+        self.world.later(end, faults.cut_pairs.difference_update, pairs)
+
     def slow_platform(self) -> None:
         """Let calls of the platform take up to seconds."""
         faults = self.world.faults
