Add the command line for operators, the audit and their pages

Cause: operators had no command line, and nothing said which promises the records show. query, command, timeline and a prompt with history send one statement and end with a status for each kind of failure. audit gathers tables of all instances and gives each promise a verdict with its figures and with what the check cannot see; four promises have a check, eight are reported as not shown, because nothing recorded bears on them yet. The demo prints it.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -9,10 +9,12 @@
 import tabulate
 
 from bench import cluster as clusters
+from dragonflyshelf.codec import operators as operators_codec
 from dragonflyshelf.core import ids
 from dragonflyshelf.runtime import http_client
 from dragonflyshelf.runtime.operators import client
 
+AUDIT = "audit"
 CONNECTIONS_PER_INSTANCE = 4
 KEY_ID = "demo-1"
 REQUESTS_PER_CONNECTION = 50
@@ -108,6 +110,13 @@
     return runs
 
 
+async def async_print_audit(cluster: clusters.Cluster) -> None:
+    """Print what the records of all instances say of each promise."""
+    port = cluster.instances[-1].operator_port
+    async with client.async_open(clusters.HOST, port) as operator:
+        print(operators_codec.text(await operator.async_query(AUDIT)))
+
+
 async def async_main(cluster: clusters.Cluster) -> int:
     """Run the demo and return the exit status."""
     await cluster.async_wait_ready()
@@ -126,6 +135,7 @@
             for number in range(CONNECTIONS_PER_INSTANCE)
         )
     )
+    await async_print_audit(cluster)
     runs = await async_account(cluster)
     return report(tally, runs)
 
--- a/dragonflyshelf/cli/main.py
+++ b/dragonflyshelf/cli/main.py
@@ -7,6 +7,7 @@
 import defopt
 
 import dragonflyshelf
+from dragonflyshelf.cli import operators
 from dragonflyshelf.codec import ini
 from dragonflyshelf.core import errors
 from dragonflyshelf.core import settings
@@ -59,7 +60,7 @@
 def main() -> None:
     """Run the command line."""
     try:
-        defopt.run([check, serve, version])
+        defopt.run([check, serve, version, *operators.COMMANDS])
     except errors.RouterError as error:
         print(error, file=sys.stderr)
         raise SystemExit(EXIT_FAILURE) from error
--- a/dragonflyshelf/runtime/operators/runners.py
+++ b/dragonflyshelf/runtime/operators/runners.py
@@ -20,6 +20,7 @@
 from dragonflyshelf.core.platform import messages as platform
 from dragonflyshelf.core import registry
 from dragonflyshelf.core import states
+from dragonflyshelf.core.timeline import audit
 from dragonflyshelf.core.timeline import events
 from dragonflyshelf.runtime.operators import in_force
 from dragonflyshelf.runtime.operators import messages
@@ -92,6 +93,26 @@
     return await in_force.async_wait(asker, statement)
 
 
+@RUNNERS.register(statements.Audit)
+async def async_audit(
+    asker: session.Session, statement: statements.Audit
+) -> codec.Answer:
+    """Check every promise against what all instances answer."""
+    tables_by_name = {}
+    missing: dict[ids.InstanceId, codec.Missing] = {}
+    for name in audit.TABLES:
+        table, absent = await asker.async_everywhere(name)
+        tables_by_name[name] = table
+        missing.update({one.instance: one for one in absent})
+    records = audit.Records(tables_by_name, len(missing))
+    columns = tuple(one.name for one in dataclasses.fields(audit.Finding))
+    return codec.QueryAnswer(
+        columns=columns,
+        rows=tuple(dataclasses.astuple(one) for one in audit.audit(records)),
+        missing=tuple(missing.values()),
+    )
+
+
 @RUNNERS.register(statements.DryRun)
 async def async_dry_run(
     asker: session.Session, statement: statements.DryRun
--- /dev/null
+++ b/tests/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of dragonflyshelf.cli."""
