Draw the time line, and tell a possible own update from a conflict

Cause: the time line could not be seen as a picture. The read-back of such an update is unknown now, and the operator is told so. Conclusion: the new test of the lost answer fails without the change.

--- a/dragonflyshelf/cli/operators.py
+++ b/dragonflyshelf/cli/operators.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import abc
+import importlib
 import os
 import pathlib
 import sys
@@ -87,6 +88,7 @@
     kind: str = "",
     limit: int = 1000,
     json: bool = False,
+    picture: pathlib.Path | None = None,
 ) -> None:
     """Show the events of all instances in one causal order.
 
@@ -100,6 +102,7 @@
     :param kind: only events of this kind
     :param limit: at most so many events
     :param json: print JSON for programs and not a table
+    :param picture: write lanes to this file (.png or .svg) and no text
     """
     wanted = {
         "service": service,
@@ -136,7 +139,13 @@
         ),
         limit=limit,
     )
-    _run_once(printer.print_statement(show), host, port, json)
+    text = printer.print_statement(show)
+    if picture is None:
+        _run_once(text, host, port, json)
+        return
+    status = run(text, host, port, json, lambda one: _draw(one, picture))
+    if status:
+        raise SystemExit(status)
 
 
 def prompt(*, host: str = DEFAULT_HOST, port: int = DEFAULT_PORT) -> None:
@@ -171,8 +180,14 @@
         raise SystemExit(status)
 
 
-def run(text: str, host: str, port: int, json: bool) -> int:
-    """Run one statement, print its answer, and return the exit status."""
+def run(
+    text: str,
+    host: str,
+    port: int,
+    json: bool,
+    use: abc.Callable[[codec.Answer], None] | None = None,
+) -> int:
+    """Run one statement, use or print its answer, return the exit status."""
     try:
         answer = asyncio.run(_async_run(text, host, port))
     except errors.BadStatement as error:
@@ -187,6 +202,9 @@
         code = errors.PeerUnreachable.code
         print(f"{code} {error} (peer={host}:{port})", file=sys.stderr)
         return EXIT_UNREACHABLE
+    if use is not None:
+        use(answer)
+        return 0
     if json:
         print(codec.encode(answer).decode())
         return 0
@@ -194,6 +212,12 @@
     return 0
 
 
+def _draw(answer: codec.QueryAnswer, path: pathlib.Path) -> None:
+    # The library is large and optional, so that no instance loads it.
+    lanes = importlib.import_module("dragonflyshelf.codec.lanes")
+    lanes.save(answer.columns, answer.rows, path)
+
+
 async def _async_run(text: str, host: str, port: int) -> codec.Answer:
     token = os.environ.get(ENVIRONMENT_TOKEN, "")
     async with client.async_open(host, port, token) as operator:
--- a/dragonflyshelf/runtime/platform/coordinator.py
+++ b/dragonflyshelf/runtime/platform/coordinator.py
@@ -286,6 +286,8 @@
     if present is None:
         if lost and write.value is None:
             return states.WriteResult.DONE, ids.Version(0)
+        if lost:
+            return states.WriteResult.UNKNOWN, ids.Version(0)
         return states.WriteResult.CONFLICT, ids.Version(0)
     if write.write_id == present.write_ids[0]:
         return states.WriteResult.DONE, present.version
--- a/tests/runtime/operators/test_commands.py
+++ b/tests/runtime/operators/test_commands.py
@@ -194,6 +194,19 @@
 
         run(monkeypatch, async_body)
 
+    def test_dropped_after(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """An update that may have run before a drop is no conflict."""
+
+        async def async_body(site: Site) -> None:
+            await site.async_run(CREATE)
+            site.faults.lose_answers = 1
+            site.faults.after_lost = lambda: site.put("w", None)
+            error = await site.async_error("alter workspace w rate 3")
+            assert error.code == errors.ResultUnknown.code
+            assert error.outcome == states.Outcome.UNKNOWN.value
+
+        run(monkeypatch, async_body)
+
 
 class TestRaces:
     """Of two operators who race on an object, one wins."""
