Find a key's rows by the key

Cause: tables and the time line have shards, and an operator has a key. A condition on key together with one on its service is replaced by the shard that requests of the key are routed by; without the service it is a mistake with its column. Times are printed with all their digits. Conclusion: the timeline command filters by key, workspace, request and upstream.

--- a/dragonflyshelf/cli/operators.py
+++ b/dragonflyshelf/cli/operators.py
@@ -81,6 +81,7 @@
     host: str = DEFAULT_HOST,
     port: int = DEFAULT_PORT,
     service: str = "",
+    key: str = "",
     workspace: str = "",
     upstream: str = "",
     request: str = "",
@@ -95,6 +96,7 @@
     :param host: address of the operators' listener
     :param port: port of the operators' listener
     :param service: only events of this service
+    :param key: only events of this key's shard; needs the service
     :param workspace: only events of this workspace
     :param upstream: only events of this upstream
     :param request: only events of this request id
@@ -106,6 +108,7 @@
     """
     wanted = {
         "service": service,
+        "key": key,
         "workspace": workspace,
         "upstream": upstream,
         "request_id": request,
--- a/dragonflyshelf/codec/operators.py
+++ b/dragonflyshelf/codec/operators.py
@@ -12,6 +12,7 @@
 
 CONTENT_JSON = "application/json"
 CONTENT_TEXT = "text/plain; charset=utf-8"
+FLOAT_FORMAT = ".15g"
 FORMAT_JSON = "json"
 FORMAT_TABLE = "table"
 
@@ -106,7 +107,11 @@
 def text(answer: Answer) -> str:
     """Return an answer for people to read, with a line end."""
     if isinstance(answer, QueryAnswer):
-        lines = [tabulate.tabulate(answer.rows, headers=answer.columns)]
+        lines = [
+            tabulate.tabulate(
+                answer.rows, headers=answer.columns, floatfmt=FLOAT_FORMAT
+            )
+        ]
     elif isinstance(answer, CommandAnswer):
         lines = _command_lines(answer)
     else:
--- a/dragonflyshelf/runtime/operators/runners.py
+++ b/dragonflyshelf/runtime/operators/runners.py
@@ -13,6 +13,7 @@
 from dragonflyshelf.core import diagnostics
 from dragonflyshelf.core import errors
 from dragonflyshelf.core import ids
+from dragonflyshelf.core.language import keys
 from dragonflyshelf.core.language import kinds
 from dragonflyshelf.core.language import printer
 from dragonflyshelf.core.language import statements
@@ -30,6 +31,7 @@
 APPLY_SECONDS = 1.0
 HIDDEN_FIELDS = frozenset({"digest"})
 KEY_BYTES = 24
+TABLE_SERVICES = "services"
 WRITE_SECONDS = 20.0
 
 Runner = abc.Callable[[session.Session, Any], abc.Awaitable[codec.Answer]]
@@ -57,6 +59,9 @@
             expected=tuple(sorted(diagnostics.TABLES)),
         )
     missing: tuple[codec.Missing, ...] = ()
+    if keys.asks_for_key(show):
+        services = await asker.async_rows(TABLE_SERVICES)
+        show = keys.with_shard(show, services)
     if show.everywhere:
         table, missing = await asker.async_everywhere(show.table)
     else:
--- a/dragonflyshelf/runtime/operators/session.py
+++ b/dragonflyshelf/runtime/operators/session.py
@@ -71,6 +71,10 @@
 
     async def async_table(self, name: str) -> tables.ResultTable:
         """Return a table of this instance."""
+        return tables.from_rows(name, await self.async_rows(name))
+
+    async def async_rows(self, name: str) -> diagnostics.Rows:
+        """Return the typed rows of a table of this instance."""
         table = diagnostics.TABLES.get(name)
         answer = await async_ask(
             self.inboxes.of(table.owner),
@@ -78,17 +82,11 @@
                 table=name, reply_to=reply
             ),
         )
-        return tables.from_rows(name, answer.rows)
+        return tuple(answer.rows)
 
     async def async_members(self) -> tuple[Any, ...]:
         """Return the rows of all members of the rosters."""
-        answer = await async_ask(
-            self.inboxes.control,
-            lambda reply: runtime_messages.TableWanted(
-                table=TABLE_MEMBERS, reply_to=reply
-            ),
-        )
-        return tuple(answer.rows)
+        return await self.async_rows(TABLE_MEMBERS)
 
     async def async_everywhere(
         self, name: str
