--- a/dragonflyshelf/core/admission/gates.py
+++ b/dragonflyshelf/core/admission/gates.py
@@ -8,7 +8,8 @@
 from dragonflyshelf.core import invariants
 from dragonflyshelf.core import settings
 
-LATENCY_WEIGHT: Final = 0.2
+FALL_WEIGHT: Final = 0.1
+RISE_WEIGHT: Final = 0.5
 NEVER: Final = ids.Instant(float("inf"))
 
 
@@ -36,6 +37,7 @@
         self.latency = 0.0
         self.failures = 0
         self.ejected_until = ids.Instant(0.0)
+        self.entered_at = ids.Instant(0.0)
         self.ramp: Ramp | None = None
         self._config = config
         self._measured_at = ids.Instant(0.0)
@@ -67,6 +69,7 @@
     def enter(self, exchange: ids.ExchangeId, now: ids.Instant) -> None:
         """Count a request that starts."""
         self._started_by_exchange[exchange] = now
+        self.entered_at = now
         if self.ramp is not None:
             self.ramp.tokens -= 1.0
         invariants.check(
@@ -89,7 +92,8 @@
         self._measured_at = now
         if self.latency == 0.0:
             self.latency = measured
-        self.latency += LATENCY_WEIGHT * (measured - self.latency)
+        weight = RISE_WEIGHT if measured > self.latency else FALL_WEIGHT
+        self.latency += weight * (measured - self.latency)
 
     def expected(self, usual: float, now: ids.Instant) -> float:
         """Return the time in seconds that the next request may take.
--- a/dragonflyshelf/core/dispatch/leader.py
+++ b/dragonflyshelf/core/dispatch/leader.py
@@ -217,7 +217,10 @@
         usual = self._usual_latency(usable)
         best = min(
             open_now,
-            key=lambda one: (one.in_flight + 1) * one.expected(usual, now),
+            key=lambda one: (
+                (one.in_flight + 1) * one.expected(usual, now),
+                one.entered_at,
+            ),
         )
         return best, now
 
--- a/dragonflyshelf/core/settings.py
+++ b/dragonflyshelf/core/settings.py
@@ -148,7 +148,7 @@
         512
     )
     patient_floor: Annotated[float, ranges.Range(minimum=0, maximum=0.9)] = 0.1
-    latency_memory: Annotated[float, SECONDS] = 1.0
+    latency_memory: Annotated[float, SECONDS] = 5.0
     eject_after: Annotated[int, ranges.Range(minimum=1, maximum=1000)] = 3
     ejection: Annotated[float, SECONDS] = 1.0
     ejected_share: Annotated[float, ranges.Range(minimum=0, maximum=1)] = 0.34
