Look at renewals when a roster changes, and write down ownership

Cause: each tick of the control core went over all members of the fleet. The bench of losses follows the demo, which hands out its caller key now.

--- a/bench/ownership.py
+++ b/bench/ownership.py
@@ -19,6 +19,7 @@
 
 from bench import cluster as clusters
 from bench import demo
+from dragonflyshelf.codec import objects as objects_codec
 from dragonflyshelf.codec import platform as codec
 from dragonflyshelf.core.ownership import objects
 from dragonflyshelf.core import registry
@@ -168,9 +169,10 @@
 class Prober:
     """Asks for one key of each shard again and again."""
 
-    def __init__(self, cluster: clusters.Cluster) -> None:
+    def __init__(self, cluster: clusters.Cluster, caller_key: str) -> None:
         """Create a prober that does not run yet."""
         self._cluster = cluster
+        self._caller_key = caller_key
         self.avoided: set[str] = set()
         self.answered_at: dict[int, list[float]] = collections.defaultdict(
             list
@@ -190,7 +192,7 @@
             await asyncio.sleep(PROBE_INTERVAL)
 
     async def _async_ask(self, port: int, key: str) -> bool:
-        headers = (("x-caller-key", demo.CALLER_KEY),)
+        headers = (("x-caller-key", self._caller_key),)
         try:
             async with asyncio.timeout(PROBE_TIMEOUT):
                 async with http_client.async_open(
@@ -223,8 +225,7 @@
     ) as client:
         answer = await client.async_call("GET", target)
     record = codec.decode_record(answer.body)
-    from_plain = demo.objects_codec.from_plain
-    return from_plain(states.ObjectKind.SEGMENT, record.value)
+    return objects_codec.from_plain(states.ObjectKind.SEGMENT, record.value)
 
 
 async def async_calls(cluster: clusters.Cluster) -> dict[str, float]:
@@ -285,9 +286,9 @@
 ) -> dict[str, object]:
     """Bring one fault about and return its figures."""
     await cluster.async_wait_ready()
-    await demo.async_configure(cluster)
-    await demo.async_settle(cluster)
-    prober = Prober(cluster)
+    caller_key = await demo.async_configure(cluster)
+    await demo.async_settle(cluster, caller_key)
+    prober = Prober(cluster, caller_key)
     probes = [
         asyncio.create_task(prober.async_probe(shard, key))
         for shard, key in keys_by_shard().items()
--- a/dragonflyshelf/core/membership/coordinator.py
+++ b/dragonflyshelf/core/membership/coordinator.py
@@ -102,7 +102,6 @@
         if self._view.version == 0:
             return []
         return [
-            *self.handle_view(now),
             *self._renew(now),
             *self._carry(now),
             *self._ask(now),
@@ -120,6 +119,9 @@
             now,
         )
         self._writes.settle()
+        self._collector.forget_absent(
+            {objects.remover_of(one) for one in self.members()}
+        )
         return self._follow(now)
 
     def handle_fresh(self, as_of: ids.Instant, now: ids.Instant) -> None:
@@ -405,9 +407,6 @@
     def _maintain(self, now: ids.Instant) -> Effects:
         self._direct_only = False
         self._given.drop_ended(now)
-        self._collector.forget_absent(
-            {objects.remover_of(one) for one in self.members()}
-        )
         if not self._joined or now >= self._lease.direct_until:
             return []
         if self._leaving:
