Record in force only what was applied now

Cause: since a batch is passed on whole, objects that were known before were recorded as coming into force again, and the audit took the same version for a way back: the demo printed a false violation. Conclusion: the audit's verdict on configuration is sound again.

--- a/dragonflyshelf/core/control/coordinator.py
+++ b/dragonflyshelf/core/control/coordinator.py
@@ -195,7 +195,7 @@
         effects: Effects = self.membership.handle_view(now)
         if not applied.structural:
             return effects
-        for one in applied.objects:
+        for one in applied.new:
             effects += events.in_force(
                 one.kind, one.name, one.version, one.value
             )
--- a/dragonflyshelf/core/control/replica.py
+++ b/dragonflyshelf/core/control/replica.py
@@ -17,11 +17,12 @@
     """A batch of events, and what it has changed here.
 
     ``objects`` is the whole batch, because a receiver may lack what an
-    own update has brought here before. ``structural`` tells that more
-    than renewals has changed.
+    own update has brought here before; ``new`` has what was applied
+    here now. ``structural`` tells that more than renewals has changed.
     """
 
     objects: tuple[relay.RelayedObject, ...]
+    new: tuple[relay.RelayedObject, ...]
     changed: bool
     structural: bool
 
@@ -44,24 +45,23 @@
     def apply(self, events: tuple[Event, ...]) -> Applied:
         """Take in events in the order of the store."""
         found = []
-        changed = False
-        structural = False
+        new = []
         for event in events:
-            renewal = self._is_renewal(event)
-            if self._view.apply(event):
-                changed = True
-                structural = structural or not renewal
-            found.append(
-                relay.RelayedObject(
-                    kind=event.key.kind,
-                    name=event.key.name,
-                    version=event.version,
-                    value=getattr(event, "value", None),
-                    renewal=renewal,
-                )
+            relayed = relay.RelayedObject(
+                kind=event.key.kind,
+                name=event.key.name,
+                version=event.version,
+                value=getattr(event, "value", None),
+                renewal=self._is_renewal(event),
             )
+            found.append(relayed)
+            if self._view.apply(event):
+                new.append(relayed)
         return Applied(
-            objects=tuple(found), changed=changed, structural=structural
+            objects=tuple(found),
+            new=tuple(new),
+            changed=bool(new),
+            structural=any(not one.renewal for one in new),
         )
 
     def apply_state(self, state: relay.RelayedState) -> Applied:
--- a/tests/core/timeline/test_audit.py
+++ b/tests/core/timeline/test_audit.py
@@ -101,6 +101,14 @@
             event(3, "i2", self.APPLIED, 5),
         )
 
+    def test_seen_twice(self) -> None:
+        """The same version twice is no way back."""
+        assert "holds" == self.verdict(
+            event(1, "i1", self.ACCEPTED, 5),
+            event(2, "i2", self.APPLIED, 5),
+            event(3, "i2", self.APPLIED, 5),
+        )
+
 
 class TestWithdrawn:
     """A withdrawal is applied by every member."""
