--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -2,8 +2,6 @@
 
 import pathlib
 
-import pytest
-
 from tests import conftest
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -21,9 +19,9 @@
 
     def test_entries_are_whole(self) -> None:
         """Each entry has its command, what was seen and its issue."""
-        if not conftest.KNOWN_RED.exists():
-            pytest.skip("there are no known faults")
-        text = conftest.KNOWN_RED.read_text(encoding="utf-8")
+        text = ""
+        if conftest.KNOWN_RED.exists():
+            text = conftest.KNOWN_RED.read_text(encoding="utf-8")
         for entry in text.split("\n\n"):
             if conftest.PREFIX not in entry:
                 continue
