Check settings against each other and write the pages for operators

Cause: options were checked one by one, so a grant could outlive its lease and two listeners share a port; a value over two lines passed; an address in use ended in a traceback; no page told how to run an instance.

Rules between options are a registry (core/settings_rules.py); each names the option to change with its line. "dragonflyshelf settings" prints the reference of all options from their types; a committed copy of it was tried and given up, because it was behind as soon as another change landed.

--- a/dragonflyshelf/cli/main.py
+++ b/dragonflyshelf/cli/main.py
@@ -9,6 +9,7 @@
 import dragonflyshelf
 from dragonflyshelf.cli import operators
 from dragonflyshelf.codec import ini
+from dragonflyshelf.codec import reference
 from dragonflyshelf.core import errors
 from dragonflyshelf.core import settings
 from dragonflyshelf.runtime import logs
@@ -47,11 +48,23 @@
     """
     config = read_settings(path)
     logs.configure(config)
-    cut = asyncio.run(server.async_main(config))
+    try:
+        cut = asyncio.run(server.async_main(config))
+    except OSError as error:
+        raise errors.CannotListen(str(error)) from error
     if cut.requests:
         raise SystemExit(EXIT_CUT)
 
 
+def show_settings(*, ini_file: bool = False) -> None:
+    """Print every option with its default and its range.
+
+    :param ini_file: print an INI file in place of a page
+    """
+    text = reference.example() if ini_file else reference.settings_page()
+    print(text, end="")
+
+
 def version() -> None:
     """Print the version."""
     print(dragonflyshelf.__version__)
@@ -60,7 +73,15 @@
 def main() -> None:
     """Run the command line."""
     try:
-        defopt.run([check, serve, version, *operators.COMMANDS])
+        defopt.run(
+            {
+                "check": check,
+                "serve": serve,
+                "settings": show_settings,
+                "version": version,
+                **{one.__name__: one for one in operators.COMMANDS},
+            }
+        )
     except errors.RouterError as error:
         print(error, file=sys.stderr)
         raise SystemExit(EXIT_FAILURE) from error
--- a/dragonflyshelf/codec/ini.py
+++ b/dragonflyshelf/codec/ini.py
@@ -11,6 +11,7 @@
 from dragonflyshelf.core import errors
 from dragonflyshelf.core import ranges
 from dragonflyshelf.core import settings
+from dragonflyshelf.core import settings_rules
 
 SECTION_OPERATORS = "operators"
 
@@ -27,10 +28,10 @@
 
     def __str__(self) -> str:
         """Return the mistake as a compiler would print it."""
-        where = f"[{self.section}]"
-        if self.option:
-            where = f"{where} {self.option}"
-        return f"{self.path}:{self.line}: {where}: {self.message}"
+        parts = [f"{self.path}:{self.line}"]
+        if self.section:
+            parts.append(f"[{self.section}] {self.option}".rstrip())
+        return ": ".join([*parts, self.message])
 
 
 class BadSettingsFile(errors.BadSettings):
@@ -88,7 +89,10 @@
             )
         if self.mistakes:
             return None
-        return settings.Settings(**sections)
+        found = settings.Settings(**sections)
+        for one in settings_rules.broken(found):
+            self._add(one.section, one.option, one.message)
+        return found
 
     def _read_section(self, name: str, kind: Any) -> Any:
         options = self._parsed.sections.get(name, {})
@@ -113,10 +117,13 @@
         self, section: str, option: str, hint: Any, text: str
     ) -> Any:
         kind, bounds = _split(hint)
+        if "\n" in text:
+            self._add(section, option, "has more than one line")
+            return None
         try:
             value = kind(text)
         except ValueError:
-            self._add(section, option, _not_a(text, kind))
+            self._add(section, option, _not_a(text, kind, bounds))
             return None
         if bounds is not None and not bounds.allows(value):
             self._add(section, option, f"{text} is not in {bounds}")
@@ -124,6 +131,8 @@
 
     def _add(self, section: str, option: str, message: str) -> None:
         line = self._parsed.lineof(section, option or None)
+        if line is None:
+            line = self._parsed.lineof(section)
         self.mistakes.append(
             Mistake(
                 path=self._path,
@@ -151,8 +160,9 @@
     return f"unknown {what}; known: {', '.join(known)}"
 
 
-def _not_a(text: str, kind: Any) -> str:
+def _not_a(text: str, kind: Any, bounds: ranges.Range | None) -> str:
     if isinstance(kind, type) and issubclass(kind, enum.Enum):
         allowed = ", ".join(str(one.value) for one in kind)
         return f"{text!r} is not one of {allowed}"
-    return f"{text!r} is not a valid {kind.__name__}"
+    what = "a whole number" if kind is int else "a number"
+    return f"{text!r} is not {what} of {bounds}"
--- a/dragonflyshelf/core/errors.py
+++ b/dragonflyshelf/core/errors.py
@@ -214,6 +214,11 @@
     """The calls allowed to this instance each second are used up."""
 
 
+@error_code("DS310", 500, states.Step.SETTINGS)
+class CannotListen(RouterError):
+    """An address of the settings could not be bound."""
+
+
 @error_code("DS300", 400, states.Step.SETTINGS)
 class BadSettings(RouterError):
     """The settings file has mistakes."""
--- /dev/null
+++ b/tests/cli/test_command.py
@@ -0,0 +1,90 @@
+"""Tests of the command as a process of its own."""
+
+import pathlib
+import socket
+import subprocess
+import sys
+
+import pytest
+
+from dragonflyshelf.cli import main
+from dragonflyshelf.core import errors
+
+ROOT = pathlib.Path(__file__).parent.parent.parent
+
+
+def run(*arguments: str) -> subprocess.CompletedProcess[str]:
+    """Run the command to its end."""
+    return subprocess.run(
+        [sys.executable, "-m", "dragonflyshelf", *arguments],
+        capture_output=True,
+        check=False,
+        cwd=ROOT,
+        text=True,
+    )
+
+
+class TestCheck:
+    """``check`` names every mistake."""
+
+    def test_good(self) -> None:
+        """A good file gets status 0."""
+        done = run("check", "examples/single.ini")
+        assert (done.returncode, done.stderr) == (0, "")
+
+    def test_mistakes(self, tmp_path: pathlib.Path) -> None:
+        """Each mistake is a line with code, place and option."""
+        path = tmp_path / "bad.ini"
+        path.write_text("[instance]\nname = a\n[log]\nlevel = loud\n")
+        done = run("check", str(path))
+        assert done.returncode == main.EXIT_USAGE
+        code = errors.BadSettings.code
+        assert done.stderr.splitlines() == [
+            f"{code} {path}:1: [instance] data_centre: is required",
+            f"{code} {path}:4: [log] level: 'loud' is not one of"
+            " debug, error, info, warning",
+        ]
+
+    def test_missing(self, tmp_path: pathlib.Path) -> None:
+        """A file that is not there gets status 2 and the code."""
+        done = run("check", str(tmp_path / "none.ini"))
+        assert done.returncode == main.EXIT_USAGE
+        assert done.stderr.startswith(errors.BadSettings.code)
+
+
+class TestServe:
+    """``serve`` runs an instance or says why it cannot."""
+
+    def test_address_in_use(self, tmp_path: pathlib.Path) -> None:
+        """An address that is taken gets a code and status 1."""
+        path = tmp_path / "one.ini"
+        with socket.socket() as taken:
+            taken.bind(("127.0.0.1", 0))
+            taken.listen()
+            port = taken.getsockname()[1]
+            path.write_text(
+                "[instance]\nname = a\ndata_centre = b\n"
+                "[listen]\ncaller_port = 0\npeer_port = 0\n"
+                f"operator_port = {port}\n"
+            )
+            done = run("serve", str(path))
+        assert done.returncode == main.EXIT_FAILURE
+        assert done.stderr.startswith(errors.CannotListen.code)
+
+
+class TestUsage:
+    """A wrong call gets status 2, and help can be read."""
+
+    @pytest.mark.parametrize("arguments", [[], ["serve"], ["none"]])
+    def test_wrong(self, arguments: list[str]) -> None:
+        """A wrong call is explained on standard error."""
+        done = run(*arguments)
+        assert done.returncode == main.EXIT_USAGE
+        assert "usage:" in done.stderr
+
+    def test_help(self) -> None:
+        """Help names the commands."""
+        done = run("--help")
+        assert done.returncode == 0
+        for name in ("check", "serve", "settings", "version"):
+            assert name in done.stdout
--- a/tests/codec/test_ini.py
+++ b/tests/codec/test_ini.py
@@ -41,3 +41,63 @@
         """A missing required option is named."""
         found = mistakes_of("[instance]\nname = one\n")
         assert "[instance] data_centre: is required" in found[0]
+
+    @pytest.mark.parametrize("value", ["nan", "inf", "-inf", "1e999", "0", ""])
+    def test_not_finite(self, value: str) -> None:
+        """A time is a finite number within its range."""
+        (mistake,) = mistakes_of(GOOD + f"[membership]\nlease = {value}\n")
+        assert mistake.startswith("x.ini:5: [membership] lease:")
+        assert "0.001 to 86400 s" in mistake
+
+    @pytest.mark.parametrize(
+        ("text", "line"),
+        [
+            ("[listen]\nhost = a\nhost = b\n", 6),
+            ("[instance]\n", 4),
+            ("no value\n", 4),
+            ("[broken\n", 3),
+        ],
+    )
+    def test_not_ini(self, text: str, line: int) -> None:
+        """Duplicates and bad lines are named with their line."""
+        (mistake,) = mistakes_of(GOOD + text)
+        assert mistake.startswith(f"x.ini:{line}: ")
+
+
+class TestRules:
+    """Options that do not go together are named."""
+
+    @pytest.mark.parametrize(
+        ("text", "where"),
+        [
+            ("[listen]\npeer_port = 8080\n", "5: [listen] peer_port"),
+            (
+                "[membership]\nrenew_interval = 1\n",
+                "5: [membership] renew_interval",
+            ),
+            ("[ownership]\ngrant_ttl = 2\n", "5: [ownership] grant_ttl"),
+            (
+                "[ownership]\ngrant_interval = 0.7\n",
+                "5: [ownership] grant_interval",
+            ),
+            (
+                "[requests]\nwindow_bytes = 1024\n",
+                "4: [requests] replay_bytes",
+            ),
+            ("[shutdown]\nsettle = 16\n", "5: [shutdown] settle"),
+            (
+                "[upstreams]\nconnect_timeout = 11\n",
+                "5: [upstreams] connect_timeout",
+            ),
+        ],
+    )
+    def test_rule(self, text: str, where: str) -> None:
+        """The mistake stands at the option to change."""
+        found = mistakes_of(GOOD + text)
+        assert [one for one in found if one.startswith(f"x.ini:{where}:")]
+
+    def test_name(self) -> None:
+        """A name has only characters that are safe everywhere."""
+        text = "[instance]\nname = a b\ndata_centre = a\n"
+        (mistake,) = mistakes_of(text)
+        assert mistake.startswith("x.ini:2: [instance] name:")
