--- a/dragonflyshelf/codec/peer.py
+++ b/dragonflyshelf/codec/peer.py
@@ -38,6 +38,7 @@
 
 capnp.remove_import_hook()
 _schema = capnp.load(str(SCHEMA))
+_FRAME: Final = _schema.Frame
 
 TYPES_BY_MEMBER: Final[dict[str, type]] = {
     "answerChunk": messages.AnswerChunk,
@@ -181,10 +182,30 @@
 }
 
 
+def _fill(builder: Any, fields: dict[str, Any]) -> None:
+    """Set the fields of a struct; by far faster than by keyword."""
+    for name, value in fields.items():
+        if type(value) is dict:
+            _fill(builder.init(name), value)
+        elif type(value) is list:
+            _fill_list(builder.init(name, len(value)), value)
+        else:
+            setattr(builder, name, value)
+
+
+def _fill_list(builder: Any, items: list[Any]) -> None:
+    for number, item in enumerate(items):
+        if type(item) is dict:
+            _fill(builder[number], item)
+        else:
+            builder[number] = item
+
+
 def encode(message: Any, stamp: ids.Stamp = clock.NO_STAMP) -> bytes:
     """Return one frame with its length and its causal stamp."""
     member, to_struct = _ENCODERS_BY_TYPE[type(message)]
-    frame = _schema.Frame.new_message(**{member: to_struct(message)})
+    frame = _FRAME.new_message()
+    _fill(frame.init(member), to_struct(message))
     data = frame.to_bytes()
     return PREFIX.pack(len(data), stamp) + data
 
@@ -225,7 +246,7 @@
 def decode_frame(body: bytes) -> Any:
     """Return the message of one frame without its prefix."""
     try:
-        with _schema.Frame.from_bytes(body) as frame:
+        with _FRAME.from_bytes(body) as frame:
             member = frame.which()
             return _DECODERS_BY_MEMBER[str(member)](
                 getattr(frame, str(member))
--- /dev/null
+++ b/tests/fuzz/__init__.py
@@ -0,0 +1,1 @@
+"""Fuzzing of everything that reads what others wrote."""
