--- a/bench/one_core.py
+++ b/bench/one_core.py
@@ -1,5 +1,6 @@
 """Experiment ``one_core``: what one instance carries on one core."""
 
+import asyncio
 import dataclasses
 import pstats
 import tempfile
@@ -14,6 +15,7 @@
 from bench import workloads
 from dragonflyshelf.core.configuration import objects
 from dragonflyshelf.core import ids
+from dragonflyshelf.core import settings
 from dragonflyshelf.core import states
 
 CALM_RATE = 400.0
@@ -24,6 +26,7 @@
 FLOOD_SECONDS = 1.0
 MEBIBYTE = 1024 * 1024
 MICROSECONDS = 1e6
+RAMP_SECONDS = settings.AdmissionSettings().ramp
 SERVICE = ids.ServiceName("letters")
 SERVICES = (
     objects.Service(name=SERVICE, key_source=states.KeySource.PATH, shards=64),
@@ -117,6 +120,7 @@
         await workloads.async_settle(
             cluster, SERVICES, WORKSPACE, SETTLE_SECONDS
         )
+        await asyncio.sleep(RAMP_SECONDS)
         calm = answers.summarise(
             await load.async_run(
                 plan(cluster, "calm", CALM_RATE, CALM_SECONDS), workers=1
