--- a/dragonflyshelf/core/dispatch/identification.py
+++ b/dragonflyshelf/core/dispatch/identification.py
@@ -17,6 +17,8 @@
     routing: view.RoutingView, event: dispatch.RequestArrived
 ) -> tuple[exchanges.Pending, objects.Workspace]:
     """Return what a request is for and whose it is, or raise."""
+    if not routing.version:
+        raise errors.StaleInstance("the configuration is not read yet")
     head = event.head
     name, key = routes.split_target(head.target)
     found = routing.routes_by_service.get(name)
