Release promises through the roster too

A promise that is given while a busy instance looks cut off is released by one message, sent once. When it is lost, the remover keeps the promise for 300 s; a lost instance then stays in the roster for as long, and a workspace whose tokens had their home there waits for it, since every member has to accept a new home. Ruled out on the core: succession on upstreams that check terms, which does not wait for the removal. Conclusion: each renewal carries the highest released session into the roster, where every remover reads it, so no single message matters.

--- a/dragonflyshelf/codec/peer.capnp
+++ b/dragonflyshelf/codec/peer.capnp
@@ -81,6 +81,7 @@
   incarnation @2 :UInt64;
   renewal @3 :UInt64;
   leaving @4 :Bool;
+  released @5 :UInt64;
 }
 
 struct PromiseRequest {
--- a/dragonflyshelf/core/membership/coordinator.py
+++ b/dragonflyshelf/core/membership/coordinator.py
@@ -118,6 +118,7 @@
             ],
             now,
         )
+        self._given.follow(self._rosters())
         self._writes.settle()
         self._collector.forget_absent(
             {objects.remover_of(one) for one in self.members()}
@@ -257,6 +258,7 @@
             incarnation=own.incarnation,
             renewal=own.renewal,
             leaving=own.leaving,
+            released=own.released,
         )
         self._collector.add(request)
         if not self._joined:
@@ -516,11 +518,7 @@
         if self._lease.direct_until < self.lease_until:
             return []
         released, self._unreleased = self._unreleased, set()
-        release = messages.PromiseRelease(
-            instance=self.own.instance,
-            incarnation=self.own.incarnation,
-            session=self._lease.session - 1,
-        )
+        release = self._lease.release()
         return [
             messages.SendToInstance(instance=one, message=release)
             for one in sorted(released)
--- a/dragonflyshelf/core/membership/lease.py
+++ b/dragonflyshelf/core/membership/lease.py
@@ -115,6 +115,19 @@
             return ids.Instant(-math.inf)
         return held.until
 
+    def release(self) -> messages.PromiseRelease:
+        """Give up the promises of all sessions before the present one.
+
+        Renewals carry it too, since the message may be lost.
+        """
+        released = self.session - 1
+        self.own = dataclasses.replace(self.own, released=released)
+        return messages.PromiseRelease(
+            instance=self.own.instance,
+            incarnation=self.own.incarnation,
+            session=released,
+        )
+
     def restart(self) -> None:
         """Begin again under a new incarnation, without a lease."""
         self.own = dataclasses.replace(
--- a/dragonflyshelf/core/membership/messages.py
+++ b/dragonflyshelf/core/membership/messages.py
@@ -14,6 +14,7 @@
     incarnation: ids.Incarnation
     renewal: int
     leaving: bool = False
+    released: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/dragonflyshelf/core/membership/objects.py
+++ b/dragonflyshelf/core/membership/objects.py
@@ -14,7 +14,8 @@
     clocks. One that is ``leaving`` hands over what it leads. One that is
     ``silent`` has not renewed for longer than its lease, but may go on
     by promises; an upstream that checks terms decides between it and a
-    successor.
+    successor. It relies on no promise of session ``released`` or
+    earlier.
     """
 
     instance: ids.InstanceId
@@ -25,6 +26,7 @@
     renewal: int = 0
     leaving: bool = False
     silent: bool = False
+    released: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/dragonflyshelf/core/membership/promises.py
+++ b/dragonflyshelf/core/membership/promises.py
@@ -45,8 +45,19 @@
         asker = objects.Remover(
             instance=message.instance, incarnation=message.incarnation
         )
+        self._release(asker, message.session)
+
+    def follow(self, rosters: list[objects.Roster]) -> None:
+        """End the promises that rosters show to be released."""
+        if not self._by_asker:
+            return
+        for roster in rosters:
+            for member in roster.members:
+                self._release(objects.remover_of(member), member.released)
+
+    def _release(self, asker: objects.Remover, session: int) -> None:
         held = self._by_asker.get(asker)
-        if held is not None and held.session <= message.session:
+        if held is not None and held.session <= session:
             del self._by_asker[asker]
 
     def runs_for(self, member: objects.Member, now: ids.Instant) -> bool:
--- a/dragonflyshelf/core/membership/renewals.py
+++ b/dragonflyshelf/core/membership/renewals.py
@@ -63,6 +63,7 @@
             member,
             renewal=request.renewal,
             leaving=request.leaving,
+            released=request.released,
             silent=False,
         )
 
--- a/tests/core/control/test_cases.py
+++ b/tests/core/control/test_cases.py
@@ -8,6 +8,7 @@
 from dragonflyshelf.core.configuration import objects as configuration
 from dragonflyshelf.core.control import messages as control
 from dragonflyshelf.core import ids
+from dragonflyshelf.core.membership import messages as leases
 from dragonflyshelf.core.ownership import objects
 from dragonflyshelf.core import states
 from tests.core.control import world
@@ -35,6 +36,16 @@
     return stored.value
 
 
+def members_of(steady: world.World) -> set[str]:
+    """Return the instances that the rosters have in the platform."""
+    rosters = steady.store.list(frozenset({states.ObjectKind.ROSTER}))
+    return {
+        member.instance
+        for stored in rosters
+        for member in stored.value.members
+    }
+
+
 def a_leader(steady: world.World) -> objects.Leadership:
     """Return one leadership of an upstream that owns shards."""
     segment = segment_of(steady)
@@ -95,6 +106,25 @@
         assert gap_after(alone, 30) < STEADY_GAP
 
 
+class TestLostReleases:
+    """A promise ends although the message that releases it is lost."""
+
+    @pytest.mark.parametrize("seed", [7, 8, 9])
+    def test_loss_after_an_outage(self, seed: int) -> None:
+        """A leader lost after an outage is succeeded as at other times."""
+        steady = world.World(seed, HOMES, promise=120.0)
+        steady.run(8)
+        steady.faults.lost_types = (leases.PromiseRelease,)
+        steady.faults.platform_out = True
+        steady.run(5)
+        steady.faults.platform_out = False
+        steady.run(5)
+        lost = a_leader(steady).instance
+        steady.kill(lost)
+        assert gap_after(steady, LOSS_SECONDS) < LOSS_SECONDS
+        assert lost not in members_of(steady)
+
+
 class TestLosses:
     """Keys are served again within the target after each loss."""
 
--- a/tests/core/control/world.py
+++ b/tests/core/control/world.py
@@ -42,6 +42,7 @@
     platform_slow: float = 0.0
     lost_answers: float = 0.0
     lost_messages: float = 0.0
+    lost_types: tuple[type, ...] = ()
     cut_pairs: set[tuple[str, str]] = dataclasses.field(default_factory=set)
     cut_from_platform: set[str] = dataclasses.field(default_factory=set)
 
@@ -278,6 +279,7 @@
     ) -> None:
         receiver = self.instances.get(effect.instance)
         lost = self.random.random() < self.faults.lost_messages
+        lost = lost or isinstance(effect.message, self.faults.lost_types)
         cut = (sender.name, effect.instance) in self.faults.cut_pairs
         if receiver is None or lost or cut:
             return
