Let planners of other data centres stand in, and tell only what was done

The cut-off instance that renews through others was removed as it should be, but the planner of the service sat in the same data centre, could not write, and nobody else planned. The time line hid it: it told of each attempt as of a leadership taken, 40 times in 5 s, with none in the platform. Now three planners of different data centres are ranked; a later one writes a change that has stayed due for 0.5 s a rank. Events of leaders, upstreams and members are recorded when the update is done. Conclusion: no plan depends on one instance's way to the platform.

--- a/dragonflyshelf/core/membership/coordinator.py
+++ b/dragonflyshelf/core/membership/coordinator.py
@@ -10,6 +10,7 @@
 from dragonflyshelf.core.membership import appointments
 from dragonflyshelf.core.membership import lease
 from dragonflyshelf.core.membership import messages
+from dragonflyshelf.core.membership import narration
 from dragonflyshelf.core.membership import objects
 from dragonflyshelf.core.membership import observations
 from dragonflyshelf.core.membership import promises
@@ -141,7 +142,11 @@
             self._next_write_by_id[data_centre] = now
             return []
         self._seen.reach(event.sent_at, now)
-        return [*self._confirm(written, now), *self._report(now)]
+        return [
+            *narration.changes(written.before, written.roster),
+            *self._confirm(written.roster, now),
+            *self._report(now),
+        ]
 
     def handle_peer(
         self, message: messages.Message, now: ids.Instant
@@ -184,7 +189,7 @@
             messages.SendToInstance(
                 instance=message.instance, message=promise
             ),
-            _event(events.EventKind.PROMISE_GIVEN, message.instance),
+            narration.event(events.EventKind.PROMISE_GIVEN, message.instance),
         ]
 
     @PEER_HANDLERS.register(messages.Promise)
@@ -235,7 +240,7 @@
         )
         return [
             dispatch.LeaseChanged(until=self.lease_until),
-            _event(events.EventKind.LEASE_LOST, self.own.instance),
+            narration.event(events.EventKind.LEASE_LOST, self.own.instance),
         ]
 
     def _confirm(self, roster: objects.Roster, now: ids.Instant) -> Effects:
@@ -447,11 +452,8 @@
             if one not in gone
         )
         if kept != roster.members:
-            write = self._writes.administer(
-                dataclasses.replace(roster, members=kept)
-            )
-            kind = events.EventKind.INSTANCE_REMOVED
-            return [write, *(_event(kind, one.instance) for one in gone)]
+            changed = dataclasses.replace(roster, members=kept)
+            return [self._writes.administer(changed)]
         return self._appoint(roster, patience, now)
 
     def _refound(self, now: ids.Instant) -> Effects:
@@ -508,7 +510,7 @@
         if until > self.lease_until:
             if self.lease_until <= now:
                 kind = events.EventKind.LEASE_STARTED
-                effects.append(_event(kind, self.own.instance))
+                effects.append(narration.event(kind, self.own.instance))
             self.lease_until = until
             effects.append(dispatch.LeaseChanged(until=until))
         return [*effects, *self._release()]
@@ -523,11 +525,3 @@
             messages.SendToInstance(instance=one, message=release)
             for one in sorted(released)
         ]
-
-
-def _event(
-    kind: events.EventKind, instance: ids.InstanceId
-) -> events.RecordEvent:
-    return events.RecordEvent(
-        event=events.TimelineEvent(kind=kind, peer=instance)
-    )
--- a/dragonflyshelf/core/membership/writes.py
+++ b/dragonflyshelf/core/membership/writes.py
@@ -15,6 +15,7 @@
 
     write_id: ids.WriteId
     expected: ids.Version
+    before: objects.Roster
     roster: objects.Roster
     administers: bool
 
@@ -57,8 +58,8 @@
             one.administers for one in self._running_by_id.values()
         )
 
-    def finish(self, event: platform.WriteFinished) -> objects.Roster | None:
-        """End an update; return the roster that it wrote."""
+    def finish(self, event: platform.WriteFinished) -> RosterWrite | None:
+        """End an update and return it; None for one of another start."""
         data_centre = ids.DataCentreId(event.key.name)
         running = self._running_by_id.get(data_centre)
         if running is None or running.write_id != event.write_id:
@@ -66,7 +67,7 @@
         del self._running_by_id[data_centre]
         if event.result is states.WriteResult.UNKNOWN and running.administers:
             self._undecided_by_id[data_centre] = running.expected
-        return running.roster
+        return running
 
     def settle(self) -> None:
         """Drop undecided updates that can no longer take effect."""
@@ -77,6 +78,12 @@
     def _version(self, data_centre: ids.DataCentreId) -> ids.Version:
         return self._view.version_of(states.ObjectKind.ROSTER, data_centre)
 
+    def _present(self, data_centre: ids.DataCentreId) -> objects.Roster:
+        known = self._view.get(states.ObjectKind.ROSTER, data_centre)
+        if known is None:
+            return objects.Roster(data_centre=data_centre)
+        return known.value
+
     def _start(
         self, roster: objects.Roster, administers: bool
     ) -> platform.WriteObject:
@@ -87,6 +94,7 @@
                 f"{self.own.instance}-{self.own.incarnation}-r{self._count}"
             ),
             expected=self._version(data_centre),
+            before=self._present(data_centre),
             roster=roster,
             administers=administers,
         )
--- a/dragonflyshelf/core/ownership/coordinator.py
+++ b/dragonflyshelf/core/ownership/coordinator.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 
+from dragonflyshelf.core.configuration import objects as configuration
 from dragonflyshelf.core.configuration import view
 from dragonflyshelf.core.dispatch import fences
 from dragonflyshelf.core.dispatch import messages as dispatch
@@ -15,9 +16,11 @@
 from dragonflyshelf.core.ownership import grants
 from dragonflyshelf.core.ownership import leading
 from dragonflyshelf.core.ownership import messages
+from dragonflyshelf.core.ownership import narration
 from dragonflyshelf.core.ownership import objects
 from dragonflyshelf.core.ownership import placement
 from dragonflyshelf.core.ownership import planner
+from dragonflyshelf.core.ownership import planners
 from dragonflyshelf.core.ownership import releases
 from dragonflyshelf.core.ownership import topology
 from dragonflyshelf.core.platform import messages as platform
@@ -40,6 +43,15 @@
 LOST = states.UpstreamState.LOST
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class PendingWrite:
+    """An update of a segment whose result is not known yet."""
+
+    write_id: ids.WriteId
+    before: objects.Segment
+    after: objects.Segment
+
+
 class OwnershipCoordinator:
     """Ownership as seen and changed by one instance."""
 
@@ -61,10 +73,9 @@
             config, self._led, self._releases, shared_view
         )
         self._planner = planner.Planner(self._config)
+        self._stand_ins = planners.StandIns(self._config.planner_patience)
         self._writes = 0
-        self._pending_by_service: dict[
-            ids.ServiceName, platform.WriteObject
-        ] = {}
+        self._pending_by_service: dict[ids.ServiceName, PendingWrite] = {}
         self._await_by_service: dict[ids.ServiceName, ids.Version] = {}
         self._epoch_by_shard: dict[
             tuple[ids.ServiceName, ids.ShardId], ids.Epoch
@@ -158,7 +169,8 @@
         del self._pending_by_service[service]
         if event.result is not states.WriteResult.DONE:
             self._await_by_service[service] = event.version
-        return []
+            return []
+        return list(narration.changes(pending.before, pending.after))
 
     def held(self) -> dispatch.LeadershipsHeld:
         """Return the leaderships that this instance may use."""
@@ -268,25 +280,35 @@
         version = self._view.version_of(states.ObjectKind.SEGMENT, service)
         return version >= self._await_by_service.get(service, version)
 
-    def _change(self, service: object, now: ids.Instant) -> Effects:
+    def _change(
+        self, service: configuration.Service, now: ids.Instant
+    ) -> Effects:
         name = service.name
         known = self._view.get(states.ObjectKind.SEGMENT, name)
         present = objects.Segment(service=name)
         if known is not None:
             present = known.value
         changed = self._advance(present, now)
-        if self._plans(name):
+        if self._plans(service, changed, now):
             changed = self._planner.plan(changed, service, self._topology, now)
         if changed == present:
             return []
-        return [self._write(changed), *self._narrate(present, changed)]
+        return [self._write(present, changed)]
 
-    def _plans(self, service: ids.ServiceName) -> bool:
-        candidates = self._topology.serving or self._topology.members
-        names = [one.instance for one in candidates]
-        return bool(names) and self._own.instance == placement.heaviest(
-            names, f"plan/{service}"
+    def _plans(
+        self,
+        service: configuration.Service,
+        present: objects.Segment,
+        now: ids.Instant,
+    ) -> bool:
+        ranked = planners.ranked(service.name, self._topology)
+        if self._own.instance not in ranked:
+            return False
+        rank = ranked.index(self._own.instance)
+        due = rank > 0 and self._planner.is_due(
+            present, service, self._topology
         )
+        return self._stand_ins.may_plan(service.name, rank, due, now)
 
     def _advance(
         self, present: objects.Segment, now: ids.Instant
@@ -386,35 +408,9 @@
             return one
         return _moved(one, placed.choose(one.shard))
 
-    def _narrate(
-        self, present: objects.Segment, changed: objects.Segment
-    ) -> list[events.RecordEvent]:
-        kinds = events.EventKind
-        before = {one.upstream: one for one in present.leaders}
-        found = []
-        for one in changed.leaders:
-            known = before.get(one.upstream)
-            if known is None or known.term != one.term:
-                kind = kinds.LEADERSHIP_TAKEN
-            elif known.upstream_state is not one.upstream_state:
-                lost = one.upstream_state is LOST
-                kind = kinds.UPSTREAM_LOST if lost else kinds.UPSTREAM_BACK
-            else:
-                continue
-            found.append(
-                events.RecordEvent(
-                    event=events.TimelineEvent(
-                        kind=kind,
-                        service=changed.service,
-                        upstream=one.upstream,
-                        peer=one.instance,
-                        term=one.term,
-                    )
-                )
-            )
-        return found
-
-    def _write(self, segment: objects.Segment) -> platform.WriteObject:
+    def _write(
+        self, present: objects.Segment, segment: objects.Segment
+    ) -> platform.WriteObject:
         self._writes += 1
         kind = states.ObjectKind.SEGMENT
         name = ids.ObjectName(segment.service)
@@ -428,7 +424,9 @@
             value=segment,
             attempts=1,
         )
-        self._pending_by_service[segment.service] = write
+        self._pending_by_service[segment.service] = PendingWrite(
+            write_id=write.write_id, before=present, after=segment
+        )
         return write
 
 
--- a/dragonflyshelf/core/ownership/planner.py
+++ b/dragonflyshelf/core/ownership/planner.py
@@ -87,6 +87,28 @@
             present, leaders=leaders, assignments=assignments
         )
 
+    def is_due(
+        self,
+        present: objects.Segment,
+        service: configuration.Service,
+        known: topology.Topology,
+    ) -> bool:
+        """Tell whether a leader or an owner has to change, balance aside."""
+        upstreams = known.upstreams_by_service.get(service.name, ())
+        keyed = service.key_source is not states.KeySource.NONE
+        group = "" if keyed else service.name
+        leaders = plan_leaders(present, upstreams, known, group)
+        if leaders != present.leaders:
+            return True
+        usable = usable_upstreams(leaders, upstreams, known)
+        if not keyed or not usable:
+            return False
+        placed = placement.BoundedPlacement(
+            service.name, usable, service.shards, self._config.load_bound
+        )
+        owners = plan_owners(present, service, usable, placed)
+        return owners != present.assignments
+
     def _settled(
         self,
         service: ids.ServiceName,
--- a/dragonflyshelf/core/settings.py
+++ b/dragonflyshelf/core/settings.py
@@ -91,6 +91,7 @@
     shards: Annotated[int, ranges.Range(minimum=1, maximum=16384)] = 128
     grant_ttl: Annotated[float, SECONDS] = 0.8
     grant_interval: Annotated[float, SECONDS] = 0.2
+    planner_patience: Annotated[float, SECONDS] = 0.5
     placement_delay: Annotated[float, SECONDS] = 0.5
     upstream_silence: Annotated[float, SECONDS] = 0.7
     load_bound: Annotated[float, ranges.Range(minimum=0.01, maximum=10)] = 0.15
--- a/tests/core/control/test_cases.py
+++ b/tests/core/control/test_cases.py
@@ -11,6 +11,7 @@
 from dragonflyshelf.core.membership import messages as leases
 from dragonflyshelf.core.ownership import objects
 from dragonflyshelf.core import states
+from dragonflyshelf.core.timeline import events
 from tests.core.control import world
 
 HOMES = {"i0": "a", "i1": "b", "i2": "c", "i3": "a", "i4": "b", "i5": "c"}
@@ -125,6 +126,27 @@
         assert lost not in members_of(steady)
 
 
+class TestNarration:
+    """The time line has what was done, not what was tried."""
+
+    def test_each_term_is_taken_once(self) -> None:
+        """A planner that cannot write tells of no leadership."""
+        steady = world.World(7, HOMES)
+        steady.run(8)
+        home = HOMES[a_leader(steady).instance]
+        steady.faults.cut_from_platform |= {
+            one for one, other in HOMES.items() if other == home
+        }
+        steady.run(12)
+        taken = collections.Counter(
+            (one.upstream, one.term)
+            for one in steady.events
+            if one.kind is events.EventKind.LEADERSHIP_TAKEN
+        )
+        assert taken
+        assert set(taken.values()) == {1}
+
+
 class TestLosses:
     """Keys are served again within the target after each loss."""
 
--- a/tests/core/control/world.py
+++ b/tests/core/control/world.py
@@ -24,6 +24,7 @@
 from dragonflyshelf.core.platform import store
 from dragonflyshelf.core import settings
 from dragonflyshelf.core import states
+from dragonflyshelf.core.timeline import events
 from tests.core.control import upstreams
 
 KINDS = frozenset(states.ObjectKind)
@@ -114,6 +115,7 @@
         self.store = store.ObjectStore()
         self.calls = 0
         self.takeovers = 0
+        self.events: list[events.TimelineEvent] = []
         self._queue: list[tuple[float, int, Any, tuple[Any, ...]]] = []
         self._number = 0
         self.instances: dict[str, Instance] = {}
@@ -271,6 +273,8 @@
             self.upstreams[effect.host].on_release(self, instance, effect)
         elif isinstance(effect, control.DrainEnded):
             instance.drained = True
+        elif isinstance(effect, events.RecordEvent):
+            self.events.append(effect.event)
 
     def _send(
         self,
