--- a/dragonflyshelf/core/membership/coordinator.py
+++ b/dragonflyshelf/core/membership/coordinator.py
@@ -7,7 +7,7 @@
 from dragonflyshelf.core.dispatch import messages as dispatch
 from dragonflyshelf.core import ids
 from dragonflyshelf.core import invariants
-from dragonflyshelf.core.membership import appointments
+from dragonflyshelf.core.membership import administration
 from dragonflyshelf.core.membership import lease
 from dragonflyshelf.core.membership import messages
 from dragonflyshelf.core.membership import narration
@@ -15,6 +15,7 @@
 from dragonflyshelf.core.membership import observations
 from dragonflyshelf.core.membership import promises
 from dragonflyshelf.core.membership import renewals
+from dragonflyshelf.core.membership import rosters
 from dragonflyshelf.core.membership import writes
 from dragonflyshelf.core.platform import messages as platform
 from dragonflyshelf.core import registry
@@ -58,15 +59,22 @@
         self._given = promises.GivenPromises(self._config)
         self._seen = observations.Observations(self._config)
         self._collector = renewals.RenewalCollector(self._config)
-        self._writes = writes.RosterWrites(own, shared_view)
+        self._rosters = rosters.Rosters(shared_view)
+        self._writes = writes.RosterWrites(own, self._rosters)
+        self._administration = administration.Administration(
+            config,
+            self._lease,
+            self._given,
+            self._seen,
+            self._writes,
+            self._rosters,
+        )
         self._joined = False
         self._leaving = False
         self._next_renewal = ids.Instant(0.0)
         self._next_question = ids.Instant(0.0)
         self._next_write_by_id: dict[ids.DataCentreId, ids.Instant] = {}
         self._unreleased: set[ids.InstanceId] = set()
-        self._orphaned_at: ids.Instant | None = None
-        self._direct_only = False
         self.lease_until = ids.Instant(0.0)
 
     @property
@@ -90,9 +98,7 @@
 
     def members(self) -> tuple[objects.Member, ...]:
         """Return the members of all rosters."""
-        return tuple(
-            member for roster in self._rosters() for member in roster.members
-        )
+        return self._rosters.members()
 
     def cut_off(self, now: ids.Instant) -> bool:
         """Tell whether the platform has been silent for a while."""
@@ -114,12 +120,12 @@
         """Take in changed rosters."""
         self._seen.observe(
             [
-                (self._version(roster.data_centre), roster)
-                for roster in self._rosters()
+                (self._rosters.version(roster.data_centre), roster)
+                for roster in self._rosters.all()
             ],
             now,
         )
-        self._given.follow(self._rosters())
+        self._given.follow(self._rosters.all())
         self._writes.settle()
         self._collector.forget_absent(
             {objects.remover_of(one) for one in self.members()}
@@ -165,7 +171,7 @@
     def _on_question(
         self, message: messages.PromiseRequest, now: ids.Instant
     ) -> Effects:
-        roster = self._roster(message.data_centre)
+        roster = self._rosters.get(message.data_centre)
         asker = roster.find(message.instance, message.incarnation)
         may_promise = (
             asker is not None
@@ -206,20 +212,8 @@
         self._given.release(message)
         return []
 
-    def _rosters(self) -> list[objects.Roster]:
-        return self._view.values(states.ObjectKind.ROSTER)
-
-    def _roster(self, data_centre: ids.DataCentreId) -> objects.Roster:
-        known = self._view.get(states.ObjectKind.ROSTER, data_centre)
-        if known is None:
-            return objects.Roster(data_centre=data_centre)
-        return known.value
-
-    def _version(self, data_centre: ids.DataCentreId) -> ids.Version:
-        return self._view.version_of(states.ObjectKind.ROSTER, data_centre)
-
     def _follow(self, now: ids.Instant) -> Effects:
-        roster = self._roster(self._data_centre)
+        roster = self._rosters.get(self._data_centre)
         entry = roster.find(self.own.instance, self.own.incarnation)
         if entry is None:
             return self._on_absent(now)
@@ -268,7 +262,7 @@
         self._collector.add(request)
         if not self._joined:
             return []
-        roster = self._roster(self._data_centre)
+        roster = self._rosters.get(self._data_centre)
         silence = self._seen.roster_silence(self._data_centre, now)
         reach = self._collector.lowest_rank(silence) + 2
         return [
@@ -283,7 +277,7 @@
         if self._leaving:
             return self._leave(now)
         effects: Effects = []
-        for roster in self._rosters():
+        for roster in self._rosters.all():
             data_centre = roster.data_centre
             due = now >= self._next_write_by_id.get(data_centre, now)
             if not due or self._writes.running(data_centre):
@@ -319,7 +313,7 @@
         self._next_write_by_id[self._data_centre] = ids.Instant(
             now + self._config.renew_interval
         )
-        roster = self._roster(self._data_centre)
+        roster = self._rosters.get(self._data_centre)
         present = [
             one for one in roster.members if one.instance == self.own.instance
         ]
@@ -332,7 +326,7 @@
             one.instance == self.own.instance for one in roster.removers
         )
         if alone and not others:
-            joined = self._founded(joined)
+            joined = self._administration.founded(joined)
         return [self._writes.renew(joined)]
 
     def _succeeds(self, predecessor: objects.Member) -> bool:
@@ -351,7 +345,7 @@
         if not self._joined or self._writes.running(self._data_centre):
             return []
         self.lease_until = ids.Instant(0.0)
-        roster = self._roster(self._data_centre)
+        roster = self._rosters.get(self._data_centre)
         own = objects.remover_of(self.own)
         left = dataclasses.replace(
             roster,
@@ -366,16 +360,6 @@
             self._writes.administer(left),
         ]
 
-    def _founded(self, roster: objects.Roster) -> objects.Roster:
-        own = objects.remover_of(self.own)
-        started = dataclasses.replace(roster, removers=(own,))
-        removers = appointments.appoint(
-            started, [*self._rosters(), started], self._config.removers
-        )
-        return dataclasses.replace(
-            started, removers=removers, generation=roster.generation + 1
-        )
-
     def _ask(self, now: ids.Instant) -> Effects:
         late = now - self._lease.confirmed_at > self._config.lease / 2
         if not self._joined or not late or now < self._next_question:
@@ -383,7 +367,7 @@
         self._next_question = ids.Instant(
             now + self._config.heartbeat_interval
         )
-        roster = self._roster(self._data_centre)
+        roster = self._rosters.get(self._data_centre)
         wanted = ids.Instant(now + self._config.promise / 2)
         return [
             self._question(one, roster, now)
@@ -412,97 +396,21 @@
         )
 
     def _maintain(self, now: ids.Instant) -> Effects:
-        self._direct_only = False
-        self._given.drop_ended(now)
-        if not self._joined or now >= self._lease.direct_until:
+        may_act = self._joined and not self._leaving
+        if not may_act or now >= self._lease.direct_until:
+            self._administration.pause(now)
             return []
-        if self._leaving:
-            return []
-        own = objects.remover_of(self.own)
-        return [
-            *self._refound(now),
-            *self._administer_all(own, now),
-        ]
-
-    def _administer_all(
-        self, own: objects.Remover, now: ids.Instant
-    ) -> Effects:
-        return [
-            effect
-            for roster in self._rosters()
-            if own in roster.removers
-            and not self._writes.running(roster.data_centre)
-            and not self._writes.undecided(roster.data_centre)
-            for effect in self._administer(roster, now)
-        ]
-
-    def _administer(self, roster: objects.Roster, now: ids.Instant) -> Effects:
-        own = objects.remover_of(self.own)
-        patience = roster.removers.index(own) * self._config.stagger / 2
-        lapsed = [
-            one
-            for one in roster.members
-            if objects.remover_of(one) != own
-            and self._seen.lapsed_for(one, now) > patience
-        ]
-        gone = [one for one in lapsed if not self._given.runs_for(one, now)]
-        kept = tuple(
-            dataclasses.replace(one, silent=one.silent or one in lapsed)
-            for one in roster.members
-            if one not in gone
-        )
-        if kept != roster.members:
-            changed = dataclasses.replace(roster, members=kept)
-            return [self._writes.administer(changed)]
-        return self._appoint(roster, patience, now)
-
-    def _refound(self, now: ids.Instant) -> Effects:
-        """Appoint anew once every remover is gone for a promise time."""
-        roster = self._roster(self._data_centre)
-        alive = {objects.remover_of(one) for one in self.members()}
-        if any(one in alive for one in roster.removers):
-            self._orphaned_at = None
-            return []
-        if self._orphaned_at is None:
-            self._orphaned_at = now
-        longest = self._config.promise * (1 + self._config.clock_rate_margin)
-        if now - self._orphaned_at <= longest:
-            return []
-        if self._writes.running(self._data_centre):
-            return []
-        return [self._writes.administer(self._founded(roster))]
-
-    def _appoint(
-        self, roster: objects.Roster, patience: float, now: ids.Instant
-    ) -> Effects:
-        if self._given.any_in(roster.data_centre, now):
-            return []
-        wanted = appointments.appoint(
-            roster, self._rosters(), self._config.removers
-        )
-        alive = [one for one in roster.removers if one in wanted]
-        own = objects.remover_of(self.own)
-        if wanted == roster.removers or not alive or alive[0] != own:
-            return []
-        if self.lease_until > self._lease.direct_until:
-            self._direct_only = True
-            return []
-        return [
-            self._writes.administer(
-                dataclasses.replace(
-                    roster,
-                    removers=wanted,
-                    generation=roster.generation + 1,
-                )
-            )
-        ]
+        return list(self._administration.tick(self.lease_until, now))
 
     def _report(self, now: ids.Instant) -> Effects:
         if not self._joined or self._leaving:
             return []
         until = self._lease.direct_until
-        if not self._direct_only and not self._writes.any_undecided():
-            roster = self._roster(self._data_centre)
+        if (
+            not self._administration.direct_only
+            and not self._writes.any_undecided()
+        ):
+            roster = self._rosters.get(self._data_centre)
             promised = self._lease.promised_until(roster)
             step = ids.Instant(now + self._config.lease)
             until = max(until, min(promised, step))
--- a/dragonflyshelf/core/membership/writes.py
+++ b/dragonflyshelf/core/membership/writes.py
@@ -2,9 +2,9 @@
 
 import dataclasses
 
-from dragonflyshelf.core.configuration import view
 from dragonflyshelf.core import ids
 from dragonflyshelf.core.membership import objects
+from dragonflyshelf.core.membership import rosters as readers
 from dragonflyshelf.core.platform import messages as platform
 from dragonflyshelf.core import states
 
@@ -23,12 +23,10 @@
 class RosterWrites:
     """At most one update of each roster at a time."""
 
-    def __init__(
-        self, own: objects.Member, shared_view: view.ObjectView
-    ) -> None:
+    def __init__(self, own: objects.Member, rosters: readers.Rosters) -> None:
         """Create without updates."""
         self.own = own
-        self._view = shared_view
+        self._rosters = rosters
         self._count = 0
         self._running_by_id: dict[ids.DataCentreId, RosterWrite] = {}
         self._undecided_by_id: dict[ids.DataCentreId, ids.Version] = {}
@@ -72,18 +70,9 @@
     def settle(self) -> None:
         """Drop undecided updates that can no longer take effect."""
         for data_centre, expected in list(self._undecided_by_id.items()):
-            if self._version(data_centre) > expected:
+            if self._rosters.version(data_centre) > expected:
                 del self._undecided_by_id[data_centre]
 
-    def _version(self, data_centre: ids.DataCentreId) -> ids.Version:
-        return self._view.version_of(states.ObjectKind.ROSTER, data_centre)
-
-    def _present(self, data_centre: ids.DataCentreId) -> objects.Roster:
-        known = self._view.get(states.ObjectKind.ROSTER, data_centre)
-        if known is None:
-            return objects.Roster(data_centre=data_centre)
-        return known.value
-
     def _start(
         self, roster: objects.Roster, administers: bool
     ) -> platform.WriteObject:
@@ -93,8 +82,8 @@
             write_id=ids.WriteId(
                 f"{self.own.instance}-{self.own.incarnation}-r{self._count}"
             ),
-            expected=self._version(data_centre),
-            before=self._present(data_centre),
+            expected=self._rosters.version(data_centre),
+            before=self._rosters.get(data_centre),
             roster=roster,
             administers=administers,
         )
