--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -10,6 +10,7 @@
 import pytest
 
 KNOWN_RED = pathlib.Path(__file__).parent.parent / "KNOWN-RED.txt"
+FAULT_PREFIX = "fault:"
 PREFIX = "test:"
 
 
@@ -25,6 +26,14 @@
     )
 
 
+def known_faults() -> list[str]:
+    """Return the known faults that a command shows, not a test."""
+    if not KNOWN_RED.exists():
+        return []
+    lines = KNOWN_RED.read_text(encoding="utf-8").splitlines()
+    return [line for line in lines if line.startswith(FAULT_PREFIX)]
+
+
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
     """Mark the listed tests."""
     listed = known_red()
@@ -42,3 +51,5 @@
             terminalreporter.write_line(f"known red: {report.nodeid}")
     for nodeid in sorted(known_red()):
         terminalreporter.write_line(f"listed in KNOWN-RED.txt: {nodeid}")
+    for line in known_faults():
+        terminalreporter.write_line(f"KNOWN-RED.txt: {line}")
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -22,8 +22,9 @@
         text = ""
         if conftest.KNOWN_RED.exists():
             text = conftest.KNOWN_RED.read_text(encoding="utf-8")
-        for entry in text.split("\n\n"):
-            if conftest.PREFIX not in entry:
+        lines = [one for one in text.split("\n") if not one.startswith("#")]
+        for entry in "\n".join(lines).split("\n\n"):
+            if not entry.strip():
                 continue
             for field in ("command:", "seen:", "issue:"):
                 assert field in entry, entry
