Rank planners once for each topology, and drop dead code

Cause: ranking the planners hashed every instance for every service at each tick, 20 times a second, although the result changes only with the topology. Envelope and rank_of were called nowhere. Checked: linter clean, 886 tests pass (32 of the control core and 854 others) and the demo was run; no time was measured. Conclusion: the ranking is kept until the topology is read anew; behaviour is the same.

--- a/dragonflyshelf/core/membership/appointments.py
+++ b/dragonflyshelf/core/membership/appointments.py
@@ -33,8 +33,3 @@
         if not free[data_centre]:
             del free[data_centre]
     return tuple(kept)
-
-
-def rank_of(roster: objects.Roster, own: objects.Remover) -> int:
-    """Return the place of a remover, counted from 0."""
-    return roster.removers.index(own)
--- a/dragonflyshelf/core/ownership/coordinator.py
+++ b/dragonflyshelf/core/ownership/coordinator.py
@@ -84,6 +84,9 @@
         self._held: dispatch.LeadershipsHeld | None = None
         self._topology = topology.read(shared_view)
         self._topology_read = False
+        self._ranked_by_service: dict[
+            ids.ServiceName, tuple[ids.InstanceId, ...]
+        ] = {}
 
     @property
     def leads_anything(self) -> bool:
@@ -267,6 +270,7 @@
         if not self._topology_read:
             self._topology = topology.read(self._view)
             self._topology_read = True
+            self._ranked_by_service.clear()
         return [
             effect
             for service in self._view.values(states.ObjectKind.SERVICE)
@@ -301,7 +305,7 @@
         present: objects.Segment,
         now: ids.Instant,
     ) -> bool:
-        ranked = planners.ranked(service.name, self._topology)
+        ranked = self._ranked(service.name)
         if self._own.instance not in ranked:
             return False
         rank = ranked.index(self._own.instance)
@@ -310,6 +314,13 @@
         )
         return self._stand_ins.may_plan(service.name, rank, due, now)
 
+    def _ranked(self, service: ids.ServiceName) -> tuple[ids.InstanceId, ...]:
+        """Return the planners, worked out once for each topology."""
+        if service not in self._ranked_by_service:
+            found = planners.ranked(service, self._topology)
+            self._ranked_by_service[service] = found
+        return self._ranked_by_service[service]
+
     def _advance(
         self, present: objects.Segment, now: ids.Instant
     ) -> objects.Segment:
--- a/dragonflyshelf/runtime/inbox.py
+++ b/dragonflyshelf/runtime/inbox.py
@@ -3,7 +3,6 @@
 import asyncio
 import collections
 from collections import abc
-import dataclasses
 from typing import Any
 
 from dragonflyshelf.core import errors
@@ -11,14 +10,6 @@
 DEFAULT_INBOX_MESSAGES = 100000
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Envelope:
-    """A message together with the inbox that takes the reply."""
-
-    message: Any
-    reply_to: "Inbox"
-
-
 class Inbox:
     """Bounded queue of messages with one reader.
 
