--- a/dragonflyshelf/core/grantor/planning.py
+++ b/dragonflyshelf/core/grantor/planning.py
@@ -55,6 +55,16 @@
     )
 
 
+def settled(assignment: objects.Assignment) -> objects.Assignment:
+    """Return the assignment of a range that its new holder has."""
+    return dataclasses.replace(
+        assignment,
+        former_upstream=ids.UpstreamId(""),
+        former_life=ids.UpstreamLife(""),
+        is_settled=True,
+    )
+
+
 class Balance:
     """Counts ranges by holder and names the one with the fewest."""
 
--- a/dragonflyshelf/core/grantor/shards.py
+++ b/dragonflyshelf/core/grantor/shards.py
@@ -6,7 +6,6 @@
 """
 
 import bisect
-import dataclasses
 
 from dragonflyshelf.core.grantor import const
 from dragonflyshelf.core.grantor import holdings
@@ -249,7 +248,7 @@
         row = held.assignment
         if row.is_settled or held.state is not RangeState.HELD:
             return row
-        return dataclasses.replace(row, is_settled=True)
+        return planning.settled(row)
 
     def _write(
         self, found: tuple[objects.Assignment, ...]
--- /dev/null
+++ b/tests/codec/test_control.py
@@ -0,0 +1,109 @@
+"""Tests of the encoding of what the system keeps in the store."""
+
+import json
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from dragonflyshelf.codec import control
+from dragonflyshelf.core import errors
+from dragonflyshelf.core.grantor import objects
+from dragonflyshelf.core.grantor import planning
+from dragonflyshelf.core import ids
+from tests.core.scheduling import world
+
+LEASE = objects.Lease(
+    holder=ids.InstanceId("front-a-1"),
+    incarnation=ids.Incarnation(1788000000000000001),
+    host="10.0.0.1",
+    port=7100,
+    count=7,
+)
+KEYS = strategies.integers(0, objects.SHARD_KEYS - 1)
+NAMES = strategies.sampled_from(["u1", "u2", "u3"])
+VALUES = strategies.sampled_from(
+    [None, 3, -1, "u1", [], {}, [[]], [["u1", "u1@1"]], [[0, 65535, 2, 0]]]
+)
+
+
+@strategies.composite
+def assignments(draw: strategies.DrawFn) -> objects.Assignment:
+    """Return an assignment of any kind that the leader makes."""
+    name = draw(NAMES)
+    row = objects.Assignment(
+        first=ids.ShardKey(draw(KEYS)),
+        last=ids.ShardKey(draw(KEYS)),
+        upstream=ids.UpstreamId(name),
+        life=ids.UpstreamLife(f"{name}@{draw(KEYS)}"),
+        epoch=ids.Epoch(draw(KEYS)),
+    )
+    if draw(strategies.booleans()):
+        return planning.moved(row, world.upstream(draw(NAMES)))
+    return row
+
+
+class TestPlan:
+    """Plans of shard ranges."""
+
+    @hypothesis.given(strategies.lists(assignments(), max_size=9))
+    def test_comes_back(self, rows: list[objects.Assignment]) -> None:
+        """What is written is read again, whatever the ranges."""
+        plan = objects.ShardPlan(
+            service=world.ARCHIVE, assignments=tuple(rows)
+        )
+        assert control.decode(control.encode(plan)) == plan
+
+    def test_size(self) -> None:
+        """A plan of 64 ranges over 54 upstreams takes 4 KiB at most."""
+        upstreams = [
+            world.upstream(f"i-{number:08x}", born=1788000000000 + number)
+            for number in range(54)
+        ]
+        plan = objects.ShardPlan(
+            service=world.ARCHIVE,
+            assignments=planning.first_assignments(upstreams),
+        )
+        assert len(control.encode(plan)) <= 4096
+
+    def test_holder_out_of_range(self) -> None:
+        """A row that names no holder cannot be read."""
+        spec = (
+            b'{"kind":"shard_plan","service":"archive",'
+            b'"holders":[["u1","u1@1"]],"rows":[[0,65535,2,1]]}'
+        )
+        with pytest.raises(errors.BadObject):
+            control.decode(spec)
+
+
+class TestLease:
+    """The lease of the leading instance."""
+
+    def test_comes_back(self) -> None:
+        """What is written is read again."""
+        assert control.decode(control.encode(LEASE)) == LEASE
+
+
+class TestBadObjects:
+    """Objects that another version or writer has left."""
+
+    @hypothesis.given(
+        strategies.sampled_from(["shard_plan", "lease", "other"]),
+        strategies.dictionaries(
+            strategies.sampled_from(["holders", "rows", "service", "lease"]),
+            VALUES,
+        ),
+    )
+    def test_any_value(self, kind: str, fields: dict[str, object]) -> None:
+        """An object is read or refused with a code, nothing else."""
+        plain = {**fields, control.KIND: kind}
+        try:
+            control.decode(json.dumps(plain).encode())
+        except errors.BadObject as error:
+            assert error.code
+
+    @pytest.mark.parametrize("spec", [b"", b"[]", b"{}", b"3", b"\xff"])
+    def test_no_record(self, spec: bytes) -> None:
+        """What is no record at all is refused with a code."""
+        with pytest.raises(errors.BadObject):
+            control.decode(spec)
