Relay objects and tokens within a data centre, and borrow whole tokens only

The leader names one follower in each other data centre as its relay; tokens are borrowed there for the whole data centre, and ahead only for a demand of a whole token in the time of a batch. Freshness is counted as before, from the ask, over each hop.

test_tokens_of_rare_requests failed first (64 instances, 0.8 of the rate).

--- a/dragonflyshelf/codec/relay.capnp
+++ b/dragonflyshelf/codec/relay.capnp
@@ -33,11 +33,19 @@
   rate @2 :Float64;
 }
 
+struct Address {
+  host @0 :Text;
+  port @1 :UInt16;
+}
+
 struct Ask {
   instance @0 :Text;
-  number @1 :UInt64;
-  known @2 :List(KnownRevision);
-  loads @3 :List(RangeLoad);
+  dataCentre @1 :Text;
+  address @2 :Address;
+  number @3 :UInt64;
+  known @4 :List(KnownRevision);
+  loads @5 :List(RangeLoad);
+  members @6 :List(Text);
 }
 
 struct Change {
@@ -58,8 +66,8 @@
 struct Update {
   number @0 :UInt64;
   kinds @1 :List(Kind);
-  leads @2 :Bool;
-  instances @3 :List(Text);
+  instances @2 :List(Text);
+  relay @3 :Address;
 }
 
 struct Frame {
--- a/dragonflyshelf/runtime/addresses.py
+++ b/dragonflyshelf/core/addresses.py
@@ -1,6 +1,7 @@
 """Addresses of the form ``host:port``."""
 
 import dataclasses
+from typing import Final
 
 from dragonflyshelf.core import errors
 
@@ -13,6 +14,10 @@
     port: int
 
 
+NOWHERE: Final = Address(host="", port=0)
+"""Stands for no address in messages between instances."""
+
+
 def parse(text: str) -> Address:
     """Return the address; raises ``BadSettings`` if it is not one."""
     host, _, port = text.rpartition(":")
--- a/dragonflyshelf/core/grantor/objects.py
+++ b/dragonflyshelf/core/grantor/objects.py
@@ -3,6 +3,7 @@
 import bisect
 import dataclasses
 
+from dragonflyshelf.core import addresses
 from dragonflyshelf.core import ids
 
 BUCKET_KEYS = 64
@@ -33,6 +34,11 @@
     port: int
     count: int
 
+    @property
+    def address(self) -> addresses.Address:
+        """Return where the others ask the holder."""
+        return addresses.Address(host=self.host, port=self.port)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Assignment:
--- a/dragonflyshelf/core/quota/lender.py
+++ b/dragonflyshelf/core/quota/lender.py
@@ -7,17 +7,10 @@
 
 from dragonflyshelf.core import ids
 from dragonflyshelf.core.quota import bucket
-from dragonflyshelf.core.quota import limiter
+from dragonflyshelf.core.quota import const
 from dragonflyshelf.core.quota import messages
 from dragonflyshelf.core.routing import objects
 
-FIRST_LEVEL = 0.3
-"""Part of a burst that a new home starts with."""
-
-
-LONGEST_WAIT = 5.0
-"""Seconds that a borrower is told to wait at most."""
-
 
 class TokenLender:
     """One bucket for each workspace that has a rate."""
@@ -46,7 +39,7 @@
         """Lend less while instances do not ask, as they use a fixed part."""
         part = 1.0
         if instances:
-            part -= limiter.FALLBACK_PART * missing / instances
+            part -= const.FALLBACK_PART * missing / instances
         if part == self._part:
             return
         self._part = part
@@ -73,7 +66,7 @@
         return messages.LendTokens(
             workspace=borrow.workspace,
             tokens=given,
-            wait=min(found.seconds_to_token(now), LONGEST_WAIT),
+            wait=min(found.seconds_to_token(now), const.LONGEST_WAIT),
         )
 
     def _bucket(
@@ -86,7 +79,7 @@
                 rate=one.rate * self._part,
                 burst=one.burst,
                 now=now,
-                tokens=one.burst * FIRST_LEVEL,
+                tokens=one.burst * const.FIRST_LEVEL,
             )
             self._buckets_by_workspace[name] = found
         return found
--- a/dragonflyshelf/core/quota/limiter.py
+++ b/dragonflyshelf/core/quota/limiter.py
@@ -7,37 +7,14 @@
 
 import dataclasses
 import enum
-import math
 
 from dragonflyshelf.core import ids
 from dragonflyshelf.core.quota import bucket
+from dragonflyshelf.core.quota import const
+from dragonflyshelf.core.quota import demand
 from dragonflyshelf.core.quota import messages
 from dragonflyshelf.core.routing import objects
 
-BATCH = 0.25
-"""Seconds of demand for which tokens are borrowed at once."""
-
-DEMAND_MEMORY = 1.0
-"""Seconds over which the demand of a workspace is averaged."""
-
-FALLBACK_PART = 0.5
-"""Part of a rate that all instances together use without a leader."""
-
-PROBE_INTERVAL = 0.2
-"""Seconds between borrowings from a leader that does not answer."""
-
-INSTANCES_UNKNOWN = 16
-"""Instances among which a rate is divided before they are known."""
-
-LEADER_SILENCE = 0.06
-"""Seconds without an answer after which a borrowing has failed."""
-
-MOST_BORROWED = 32
-"""Tokens that are borrowed at once at most."""
-
-STOCK_LIFE = 1.0
-"""Seconds after which tokens that were not used are lost."""
-
 
 class Verdict(enum.Enum):
     """Whether a request has its token."""
@@ -55,20 +32,12 @@
     borrowed_at: ids.Instant = ids.Instant(0.0)
     asked_at: ids.Instant | None = None
     empty_until: ids.Instant = ids.Instant(0.0)
-    demand: float = 0.0
-    demanded_at: ids.Instant = ids.Instant(0.0)
+    demanded: demand.Demand = dataclasses.field(default_factory=demand.Demand)
     fallback: bucket.TokenBucket | None = None
 
-    def count_demand(self, now: ids.Instant) -> None:
-        """Count a request in the mean demand, in requests a second."""
-        passed = max(now - self.demanded_at, 0.0)
-        self.demand *= math.exp(-passed / DEMAND_MEMORY)
-        self.demand += 1.0 / DEMAND_MEMORY
-        self.demanded_at = now
-
     def expire(self, now: ids.Instant) -> None:
         """Lose tokens that were borrowed too long ago."""
-        if now - self.borrowed_at > STOCK_LIFE:
+        if now - self.borrowed_at > const.STOCK_LIFE:
             self.tokens = 0
 
 
@@ -79,7 +48,7 @@
         """Create a limiter that has borrowed nothing."""
         self._workspaces_by_name: dict[ids.WorkspaceId, objects.Workspace] = {}
         self._stocks_by_workspace: dict[ids.WorkspaceId, Stock] = {}
-        self._instances = INSTANCES_UNKNOWN
+        self._instances = const.INSTANCES_UNKNOWN
         self._leader_is_silent = False
 
     def set_workspaces(
@@ -105,7 +74,7 @@
         if self._workspaces_by_name[workspace].rate <= 0:
             return Verdict.ADMITTED
         stock = self._stock(workspace)
-        stock.count_demand(now)
+        stock.demanded.count(1, now)
         return self._take(workspace, stock, now)
 
     def retake(self, workspace: ids.WorkspaceId, now: ids.Instant) -> bool:
@@ -143,16 +112,14 @@
             return None
         stock = self._stock(workspace)
         if stock.asked_at is not None:
-            if now - stock.asked_at < PROBE_INTERVAL:
+            if now - stock.asked_at < const.PROBE_INTERVAL:
                 return None
         elif now < stock.empty_until:
             return None
-        ahead = stock.demand * BATCH
-        if not waiting and stock.tokens >= ahead / 2:
-            return None
-        tokens = min(math.ceil(waiting + ahead), MOST_BORROWED)
-        if tokens <= 0:
+        ahead = stock.demanded.ahead(now)
+        if not waiting and stock.tokens * 2 >= ahead:
             return None
+        tokens = min(waiting + ahead, const.MOST_BORROWED)
         stock.asked_at = now
         return messages.BorrowTokens(workspace=workspace, tokens=tokens)
 
@@ -178,7 +145,7 @@
         stock = self._stocks_by_workspace.get(workspace)
         if stock is None or stock.asked_at is None:
             return False
-        if now - stock.asked_at < LEADER_SILENCE:
+        if now - stock.asked_at < const.LEADER_SILENCE:
             return False
         self._leader_is_silent = True
         return True
@@ -202,7 +169,7 @@
         stock = self._stock(workspace)
         return (
             f"{one.rate:g}/s, burst {one.burst:g}, here asked for"
-            f" {stock.demand:.1f}/s"
+            f" {stock.demanded.mean:.1f}/s"
         )
 
     def _stock(self, workspace: ids.WorkspaceId) -> Stock:
@@ -213,7 +180,7 @@
     ) -> bucket.TokenBucket:
         if stock.fallback is None:
             one = self._workspaces_by_name[workspace]
-            part = FALLBACK_PART / self._instances
+            part = const.FALLBACK_PART / self._instances
             stock.fallback = bucket.TokenBucket(
                 rate=one.rate * part,
                 burst=max(one.burst * part, 1.0),
--- /dev/null
+++ b/dragonflyshelf/core/quota/pool.py
@@ -0,0 +1,136 @@
+"""Tokens that a relay borrows for the instances that ask it.
+
+The relay has one request under way for each workspace and asks for a
+little more than is wanted at the moment, so that most of its members
+are answered at once and few calls go between data centres. What is not
+used soon is lost, so that the sum over all instances stays strict.
+"""
+
+import collections
+from collections import abc
+import dataclasses
+from typing import Any
+
+from dragonflyshelf.core import ids
+from dragonflyshelf.core.quota import const
+from dragonflyshelf.core.quota import demand
+from dragonflyshelf.core.quota import messages
+
+Link = Any
+"""What a member is known by; the runtime takes the link's inbox."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Answer:
+    """What a member is told."""
+
+    link: Link
+    lend: messages.LendTokens
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Waiting:
+    """A member that waits for tokens."""
+
+    link: Link
+    tokens: int
+    since: ids.Instant
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Account:
+    """Tokens of one workspace, and those who wait for some."""
+
+    demanded: demand.Demand = dataclasses.field(default_factory=demand.Demand)
+    tokens: int = 0
+    borrowed_at: ids.Instant = ids.Instant(0.0)
+    asked_at: ids.Instant | None = None
+    empty_until: ids.Instant = ids.Instant(0.0)
+    waiting: collections.deque[Waiting] = dataclasses.field(
+        default_factory=collections.deque
+    )
+
+
+class TokenPool:
+    """Accounts of all workspaces at a relay."""
+
+    def __init__(self) -> None:
+        """Create a pool without tokens."""
+        self._accounts_by_workspace: collections.defaultdict[
+            ids.WorkspaceId, Account
+        ] = collections.defaultdict(Account)
+
+    def borrow(
+        self, link: Link, wanted: messages.BorrowTokens, now: ids.Instant
+    ) -> abc.Iterator[Answer]:
+        """Take in a member's request; yield what can be told at once."""
+        account = self._accounts_by_workspace[wanted.workspace]
+        account.demanded.count(wanted.tokens, now)
+        account.waiting.append(
+            Waiting(link=link, tokens=wanted.tokens, since=now)
+        )
+        yield from self._serve(wanted.workspace, account, now)
+
+    def wanted(
+        self, workspace: ids.WorkspaceId, reads_ahead: bool, now: ids.Instant
+    ) -> messages.BorrowTokens | None:
+        """Return what is to be asked for, if anything.
+
+        An instance without members does not read ahead here, as its own
+        limiter does.
+        """
+        account = self._accounts_by_workspace[workspace]
+        if account.asked_at is not None:
+            if now - account.asked_at < const.PROBE_INTERVAL:
+                return None
+        elif now < account.empty_until:
+            return None
+        waiting = sum(one.tokens for one in account.waiting)
+        ahead = account.demanded.ahead(now) if reads_ahead else 0
+        if not waiting and account.tokens * 2 >= ahead:
+            return None
+        account.asked_at = now
+        return messages.BorrowTokens(
+            workspace=workspace,
+            tokens=min(waiting + ahead, const.MOST_BORROWED),
+        )
+
+    def lent(
+        self, lend: messages.LendTokens, now: ids.Instant
+    ) -> abc.Iterator[Answer]:
+        """Take in the leading instance's answer; yield what it allows."""
+        account = self._accounts_by_workspace[lend.workspace]
+        account.asked_at = None
+        self._expire(account, now)
+        account.tokens += lend.tokens
+        if lend.tokens:
+            account.borrowed_at = now
+        else:
+            account.empty_until = ids.Instant(now + lend.wait)
+        yield from self._serve(lend.workspace, account, now)
+
+    def _serve(
+        self, workspace: ids.WorkspaceId, account: Account, now: ids.Instant
+    ) -> abc.Iterator[Answer]:
+        self._expire(account, now)
+        while account.waiting:
+            if not account.tokens and now >= account.empty_until:
+                return
+            first = account.waiting.popleft()
+            given = min(first.tokens, account.tokens)
+            account.tokens -= given
+            wait = 0.0 if given else account.empty_until - now
+            yield Answer(
+                link=first.link,
+                lend=messages.LendTokens(
+                    workspace=workspace, tokens=given, wait=wait
+                ),
+            )
+
+    def _expire(self, account: Account, now: ids.Instant) -> None:
+        if now - account.borrowed_at > const.RELAY_STOCK_LIFE:
+            account.tokens = 0
+        while account.waiting and (
+            now - account.waiting[0].since > const.RELAY_WAIT_LIFE
+        ):
+            account.waiting.popleft()
--- a/dragonflyshelf/core/relay/messages.py
+++ b/dragonflyshelf/core/relay/messages.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from dragonflyshelf.core import addresses
 from dragonflyshelf.core.grantor import messages as grantor
 from dragonflyshelf.core import ids
 from dragonflyshelf.core.quota import messages as quota
@@ -20,13 +21,18 @@
 class Ask:
     """A follower asks for what is new, and reports its load.
 
-    ``number`` grows with each ask of one connection.
+    ``number`` grows with each ask of one connection. ``address`` is
+    where others may ask the follower in turn. ``members`` are the
+    instances that asked it of late, and ``loads`` has theirs too.
     """
 
     instance: ids.InstanceId
+    data_centre: ids.DataCentreId
+    address: addresses.Address
     number: int
     known: tuple[KnownRevision, ...]
     loads: tuple[grantor.RangeLoad, ...]
+    members: tuple[ids.InstanceId, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -59,15 +65,15 @@
 class Update:
     """The answer to an ask, or news since then.
 
-    ``leads`` tells whether the sender holds the lease; only then do its
-    ``instances`` count, those that it reckons with. They are left out
-    when they are those of the update before.
+    ``instances`` are those that the leading instance reckons with. They
+    are left out when they are those of the update before. ``relay`` is
+    whom to ask from now on, ``NOWHERE`` for the sender itself.
     """
 
     number: int
     kinds: tuple[RelayedKind, ...]
-    leads: bool
     instances: tuple[ids.InstanceId, ...]
+    relay: addresses.Address = addresses.NOWHERE
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/dragonflyshelf/platform/store.py
+++ b/dragonflyshelf/platform/store.py
@@ -7,13 +7,13 @@
 import msgspec
 
 from dragonflyshelf.codec import control
+from dragonflyshelf.core import addresses
 from dragonflyshelf.core import errors
 from dragonflyshelf.core.grantor import messages as grantor
 from dragonflyshelf.core import ids
 from dragonflyshelf.core import settings
 from dragonflyshelf.core.store import messages as store
 from dragonflyshelf.platform import names
-from dragonflyshelf.runtime import addresses
 from dragonflyshelf.runtime import http_client
 
 STATUS_OK = frozenset({200, 201})
--- a/dragonflyshelf/runtime/gateway/control.py
+++ b/dragonflyshelf/runtime/gateway/control.py
@@ -16,21 +16,18 @@
 from dragonflyshelf.core.grantor import messages as grantor
 from dragonflyshelf.core.grantor import objects as grantor_objects
 from dragonflyshelf.core import ids
-from dragonflyshelf.core.quota import lender
 from dragonflyshelf.core.quota import messages as quota
 from dragonflyshelf.core import registry
-from dragonflyshelf.core.relay import followers
 from dragonflyshelf.core.relay import messages as relay
-from dragonflyshelf.core.relay import source
 from dragonflyshelf.core.relay import sources
 from dragonflyshelf.core.scheduling import messages as scheduling
 from dragonflyshelf.core import settings
 from dragonflyshelf.core.store import messages as store
 from dragonflyshelf.core.store import replica
 from dragonflyshelf.core.upstreams import messages as upstream_events
-from dragonflyshelf.runtime import addresses
 from dragonflyshelf.runtime.callers import messages as callers
 from dragonflyshelf.runtime.gateway import decoding
+from dragonflyshelf.runtime.gateway import relaying
 from dragonflyshelf.runtime.gateway import router
 from dragonflyshelf.runtime import inbox
 from dragonflyshelf.runtime import logs
@@ -97,13 +94,10 @@
         self._replica = replica.Replica()
         self._decoded = decoding.DecodedObjects()
         self._grantor = grantors.GrantorCoordinator(config, own)
-        self._lender = lender.TokenLender()
-        self._followers = followers.Followers(own.holder, self._replica)
+        self._relaying = relaying.Relaying(config, own, self._replica)
         self._chooser = sources.SourceChooser()
         self._watches = False
         self._instances: tuple[ids.InstanceId, ...] = ()
-        self._ask_number = 0
-        self._asked_at_by_number: dict[int, ids.Instant] = {}
         self._next_ask = ids.Instant(0.0)
         self._next_shard_report = ids.Instant(0.0)
         self._lost_kinds: set[Kind] = set()
@@ -134,6 +128,8 @@
 
     def begin(self) -> None:
         """List everything and start the clock."""
+        self._relaying.router = self._inboxes.router
+        self._relaying.client = self._inboxes.relay
         self._chooser.start(self.now)
         self._watch_from_store()
         self.inbox.post(Tick())
@@ -142,6 +138,7 @@
     def _on_tick(self, message: Tick) -> None:
         self.post_later(TICK, message)
         self._run(grantor.TimePassed())
+        self._relaying.check(self.age, self.now)
         self._choose_source()
         self._ask_if_due()
         if self.is_leading:
@@ -188,7 +185,7 @@
                 scheduling.ConfigurationConfirmed(at=copy.confirmed_at)
             )
         if any(one.name != LEASE for one in changes):
-            self._tell_followers()
+            self._relaying.tell_followers(self.is_leading, self.now)
 
     def _see_control(self, changes: tuple[store.Change, ...]) -> None:
         self._run(grantor.ControlListed())
@@ -208,14 +205,7 @@
             )
         )
         if change.name == LEASE:
-            self._follow_lease(value)
-
-    def _follow_lease(self, lease: grantor_objects.Lease) -> None:
-        """Ask the holder of the lease from now on."""
-        address = None
-        if lease.holder and lease.holder != self._own.holder:
-            address = addresses.Address(host=lease.host, port=lease.port)
-        self._inboxes.relay.post(relay_messages.Follow(address=address))
+            self._relaying.follow(value)
 
     @PUBLISHERS.register(Kind.CONFIGURATION)
     def _publish_configuration(self) -> None:
@@ -236,7 +226,8 @@
                     )
                 )
             )
-            self._lender.set_workspaces(value.workspaces, self.now)
+            lender = self._relaying.lender
+            lender.set_workspaces(value.workspaces, self.now)
             self._run(grantor.ServicesChanged(services=value.services))
 
     @PUBLISHERS.register(Kind.REGISTRATION)
@@ -323,8 +314,8 @@
     def _on_leadership(self, effect: grantor.LeadershipChanged) -> None:
         _LOGGER.info("leadership %s", "taken" if effect.leads else "ended")
         if effect.leads:
-            self._followers.expect(self._instances, self.now)
-            self._lender.start()
+            self._relaying.followers.expect(self._instances, self.now)
+            self._relaying.lender.start()
         if effect.leads or self._watches:
             self._watch_from_store()
 
@@ -376,39 +367,23 @@
         if self.is_leading:
             self._note_own_load(message)
             return
-        self._ask_number += 1
-        self._asked_at_by_number[self._ask_number] = self.now
-        self._asked_at_by_number.pop(self._ask_number - 32, None)
-        self._inboxes.relay.post(
-            relay.Ask(
-                instance=self._own.holder,
-                number=self._ask_number,
-                known=tuple(
-                    relay.KnownRevision(
-                        kind=kind, revision=self._replica.copy(kind).revision
-                    )
-                    for kind in Kind
-                ),
-                loads=message.loads,
-            )
-        )
+        self._relaying.ask(message.loads, self.now)
 
     @task.handles(relay_messages.UpdateReceived)
     def _on_update(self, message: relay_messages.UpdateReceived) -> None:
-        update = message.update
-        asked_at = self._asked_at_by_number.get(update.number)
-        if asked_at is None:
-            return
         self._chooser.updated(self.now)
-        for relayed in update.kinds:
-            event = source.to_event(relayed, asked_at)
+        for event in self._relaying.take_update(message.update, self.now):
             if isinstance(event, store.KindListed):
                 self._on_listed(event)
             else:
                 self._on_changed(event)
-        if update.leads and update.instances:
-            self._instances = update.instances
-            self._tell_instances(update.instances)
+        if message.update.instances:
+            self._instances = message.update.instances
+            self._tell_instances(message.update.instances)
+
+    @task.handles(relay_messages.LinkLost)
+    def _on_link_lost(self, message: relay_messages.LinkLost) -> None:
+        self._relaying.leave_relay(message.reason, self.now)
 
     def _tell_instances(self, names: tuple[ids.InstanceId, ...]) -> None:
         self._inboxes.router.post(scheduling.InstancesChanged(instances=names))
@@ -416,33 +391,28 @@
     @task.handles(quota.BorrowTokens)
     def _on_borrow_wanted(self, message: quota.BorrowTokens) -> None:
         """Borrow from the leading instance, which may be this one."""
-        if self.is_leading:
-            lent = self._lender.lend(message, self.now)
-            self._inboxes.router.post(lent)
-            return
-        self._inboxes.relay.post(relay.Borrow(borrowings=(message,)))
+        self._relaying.borrow(
+            self._inboxes.router, (message,), self.is_leading, self.now
+        )
 
     @task.handles(relay_messages.BorrowReceived)
     def _on_borrow(self, message: relay_messages.BorrowReceived) -> None:
-        if not self.is_leading:
-            return
-        lendings = tuple(
-            self._lender.lend(one, self.now)
-            for one in message.borrow.borrowings
+        self._relaying.borrow(
+            message.reply_to,
+            message.borrow.borrowings,
+            self.is_leading,
+            self.now,
         )
-        message.reply_to.post(relay.Lend(lendings=lendings))
 
     @task.handles(relay.Lend)
     def _on_lend(self, message: relay.Lend) -> None:
-        for one in message.lendings:
-            self._inboxes.router.post(one)
+        self._relaying.lent(message, self.now)
 
     @task.handles(relay_messages.AskReceived)
     def _on_ask(self, message: relay_messages.AskReceived) -> None:
-        self._followers.asked(message.reply_to, message.ask, self.now)
+        self._relaying.asked(message, self.is_leading, self.now)
         if self.is_leading:
             self._note_loads(message.ask.instance, message.ask.loads)
-        self._tell(message.reply_to)
 
     def _note_loads(
         self, instance: ids.InstanceId, loads: tuple[grantor.RangeLoad, ...]
@@ -452,14 +422,7 @@
 
     @task.handles(relay_messages.FollowerGone)
     def _on_follower_gone(self, message: relay_messages.FollowerGone) -> None:
-        self._followers.gone(message.reply_to)
-
-    def _tell_followers(self) -> None:
-        for box in self._followers:
-            self._tell(box)
-
-    def _tell(self, box: inbox.Inbox) -> None:
-        box.post(self._followers.update(box, self.is_leading, self.now))
+        self._relaying.followers.gone(message.reply_to)
 
     def _note_own(self) -> None:
         """Ask the router for its load, as a follower reports its own."""
@@ -467,9 +430,10 @@
             self._want_load()
 
     def _note_own_load(self, load: router.LoadTold) -> None:
-        names = self._followers.instances(self.now)
-        missing = self._followers.missing(self.now)
-        self._lender.reserve(missing, len(names), self.now)
+        followers = self._relaying.followers
+        names = followers.instances(self.now)
+        missing = followers.missing(self.now)
+        self._relaying.lender.reserve(missing, len(names), self.now)
         self._note_loads(self._own.holder, load.loads)
         self._run(grantor.PacesMeasured(paces=load.paces))
         self._tell_instances(names)
--- /dev/null
+++ b/dragonflyshelf/runtime/gateway/relaying.py
@@ -0,0 +1,178 @@
+"""Part of the control task that asks another instance and is asked.
+
+It belongs to the control task and runs within it: the followers are
+told what is in that task's replica.
+"""
+
+from collections import abc
+from typing import Final
+
+from absl import logging
+
+from dragonflyshelf.core.grantor import messages as grantor
+from dragonflyshelf.core.grantor import objects as grantor_objects
+from dragonflyshelf.core import ids
+from dragonflyshelf.core.quota import lender
+from dragonflyshelf.core.quota import messages as quota
+from dragonflyshelf.core.quota import pool
+from dragonflyshelf.core.relay import followers
+from dragonflyshelf.core.relay import following
+from dragonflyshelf.core.relay import messages as relay
+from dragonflyshelf.core.relay import source
+from dragonflyshelf.core import settings
+from dragonflyshelf.core.store import messages as store
+from dragonflyshelf.core.store import replica
+from dragonflyshelf.runtime import inbox
+from dragonflyshelf.runtime.relay import messages
+
+_LOGGER = logging.get_absl_logger()
+
+ASKS_KEPT: Final = 32
+"""Asks whose answers are still taken in."""
+
+
+class Relaying:
+    """Whom this instance asks, who asks it, and the tokens between."""
+
+    def __init__(
+        self,
+        config: settings.Settings,
+        own: grantor_objects.Lease,
+        copies: replica.Replica,
+    ) -> None:
+        """Create the part; ``router`` and ``client`` are set at the start."""
+        self._own = own
+        self._data_centre = config.instance.data_centre
+        self._copies = copies
+        self._pool = pool.TokenPool()
+        self._following = following.Following(own.holder)
+        self._number = 0
+        self._asked_at_by_number: dict[int, ids.Instant] = {}
+        self.lender = lender.TokenLender()
+        self.followers = followers.Followers(config.instance, copies)
+        self.router: inbox.Inbox | None = None
+        self.client: inbox.Inbox | None = None
+
+    def follow(self, lease: grantor_objects.Lease) -> None:
+        """Ask the holder of the lease, or the relay that it names."""
+        self._following.see_lease(lease)
+        self._post_address()
+
+    def _post_address(self) -> None:
+        address = self._following.address
+        self._post_client(messages.Follow(address=address))
+
+    def _post_client(
+        self, message: messages.Follow | relay.Ask | relay.Borrow
+    ) -> None:
+        assert self.client is not None
+        self.client.post(message)
+
+    def check(self, age: float, now: ids.Instant) -> None:
+        """Leave a relay that is silent or tells nothing fresh."""
+        if self._following.is_useless(age, now):
+            self.leave_relay("silent, or its objects are old", now)
+
+    def leave_relay(self, reason: str, now: ids.Instant) -> None:
+        """Go back to the leading instance."""
+        if not self._following.uses_relay:
+            return
+        address = self._following.address
+        _LOGGER.info("relay at %s is left: %s", address, reason)
+        self._following.lose(now)
+        self._post_address()
+
+    def ask(
+        self, loads: tuple[grantor.RangeLoad, ...], now: ids.Instant
+    ) -> None:
+        """Ask the instance that is followed for what is new.
+
+        ``loads`` is empty between the reports of load.
+        """
+        self._number += 1
+        self._asked_at_by_number[self._number] = now
+        self._asked_at_by_number.pop(self._number - ASKS_KEPT, None)
+        if loads:
+            loads = self.followers.with_loads_of_members(loads, now)
+        self._post_client(
+            relay.Ask(
+                instance=self._own.holder,
+                data_centre=self._data_centre,
+                address=self._own.address,
+                number=self._number,
+                known=tuple(
+                    relay.KnownRevision(
+                        kind=kind, revision=self._copies.copy(kind).revision
+                    )
+                    for kind in store.ObjectKind
+                ),
+                loads=loads,
+                members=self.followers.members(now),
+            )
+        )
+
+    def take_update(
+        self, update: relay.Update, now: ids.Instant
+    ) -> abc.Iterator[store.KindListed | store.KindChanged]:
+        """Yield what an update brings; nothing for an unknown ask."""
+        asked_at = self._asked_at_by_number.get(update.number)
+        if asked_at is None:
+            return
+        self._following.updated(update.relay, now)
+        self._post_address()
+        if update.instances:
+            self.followers.pass_on(update.instances)
+        for relayed in update.kinds:
+            yield source.to_event(relayed, asked_at)
+
+    def asked(
+        self, message: messages.AskReceived, leads: bool, now: ids.Instant
+    ) -> None:
+        """Answer a follower."""
+        self.followers.asked(message.reply_to, message.ask, now)
+        self._tell(message.reply_to, leads, now)
+
+    def tell_followers(self, leads: bool, now: ids.Instant) -> None:
+        """Tell every follower what is new to it."""
+        for box in self.followers:
+            self._tell(box, leads, now)
+
+    def _tell(self, box: inbox.Inbox, leads: bool, now: ids.Instant) -> None:
+        box.post(self.followers.update(box, leads, now))
+
+    def borrow(
+        self,
+        link: inbox.Inbox,
+        borrowings: tuple[quota.BorrowTokens, ...],
+        leads: bool,
+        now: ids.Instant,
+    ) -> None:
+        """Lend tokens as the leading instance, or borrow them from it."""
+        for one in borrowings:
+            if leads:
+                self._lend(link, self.lender.lend(one, now))
+                continue
+            for answer in self._pool.borrow(link, one, now):
+                self._lend(answer.link, answer.lend)
+            self._borrow_if_wanted(one.workspace, now)
+
+    def lent(self, message: relay.Lend, now: ids.Instant) -> None:
+        """Pass on what the followed instance has lent."""
+        for one in message.lendings:
+            for answer in self._pool.lent(one, now):
+                self._lend(answer.link, answer.lend)
+            self._borrow_if_wanted(one.workspace, now)
+
+    def _borrow_if_wanted(
+        self, workspace: ids.WorkspaceId, now: ids.Instant
+    ) -> None:
+        is_relay = bool(self.followers.members(now))
+        wanted = self._pool.wanted(workspace, is_relay, now)
+        if wanted is not None:
+            self._post_client(relay.Borrow(borrowings=(wanted,)))
+
+    def _lend(self, link: inbox.Inbox, lend: quota.LendTokens) -> None:
+        if link is self.router:
+            link.post(lend)
+        else:
+            link.post(relay.Lend(lendings=(lend,)))
--- a/dragonflyshelf/runtime/gateway/server.py
+++ b/dragonflyshelf/runtime/gateway/server.py
@@ -9,11 +9,11 @@
 
 from absl import logging
 
+from dragonflyshelf.core import addresses
 from dragonflyshelf.core.grantor import objects as grantor
 from dragonflyshelf.core import ids
 from dragonflyshelf.core import settings
 from dragonflyshelf.platform import names
-from dragonflyshelf.runtime import addresses
 from dragonflyshelf.runtime.callers import listener
 from dragonflyshelf.runtime.gateway import control
 from dragonflyshelf.runtime.gateway import health
--- a/dragonflyshelf/runtime/relay/client.py
+++ b/dragonflyshelf/runtime/relay/client.py
@@ -7,9 +7,9 @@
 
 from dragonflyshelf.codec import frames
 from dragonflyshelf.codec import relay as codec
+from dragonflyshelf.core import addresses
 from dragonflyshelf.core import errors
 from dragonflyshelf.core.relay import messages as relay
-from dragonflyshelf.runtime import addresses
 from dragonflyshelf.runtime import inbox
 from dragonflyshelf.runtime.relay import messages
 from dragonflyshelf.runtime import sockets
@@ -20,6 +20,9 @@
 CONNECT_TIMEOUT = 0.6
 """Seconds that a connection to another instance may take to open."""
 
+MOST_PENDING = 64
+"""Messages that are kept while a connection opens."""
+
 SILENCE = 1.2
 """Seconds without an update after which a connection is opened anew."""
 
@@ -29,7 +32,7 @@
     """The attempt to connect has ended."""
 
     address: addresses.Address
-    is_open: bool
+    error: str = ""
 
 
 class RelayClientTask(task.Task):
@@ -44,6 +47,7 @@
         self._transport: asyncio.Transport | None = None
         self._connecting: asyncio.Task[None] | None = None
         self._heard_at = 0.0
+        self._pending: list[relay.Ask | relay.Borrow] = []
 
     @task.handles(messages.Follow)
     def _on_follow(self, message: messages.Follow) -> None:
@@ -54,30 +58,40 @@
 
     @task.handles(relay.Ask)
     def _on_ask(self, message: relay.Ask) -> None:
-        if self._transport is None:
-            self._connect()
-            return
         silent = self.now - self._heard_at
-        if silent > SILENCE:
+        if self._transport is not None and silent > SILENCE:
             _LOGGER.warning(
                 "instance at %s was silent for %.1f s", self._address, silent
             )
             self._drop()
-            self._connect()
+        self._send(message)
+
+    def _send(self, message: relay.Ask | relay.Borrow) -> None:
+        """Send a message, or keep it until the connection is open."""
+        if self._transport is not None:
+            self._transport.write(codec.CODEC.encode(message))
             return
-        self._transport.write(codec.CODEC.encode(message))
+        if len(self._pending) < MOST_PENDING:
+            self._pending.append(message)
+        self._connect()
 
     @task.handles(ConnectOver)
     def _on_connect_over(self, message: ConnectOver) -> None:
         self._connecting = None
         if message.address != self._address:
             self._drop()
+        elif message.error:
+            self._lose(message.error)
 
     @task.handles(sockets.SocketOpened)
     def _on_opened(self, message: sockets.SocketOpened) -> None:
         self._transport = message.transport
         self._decoder = frames.FrameDecoder(codec.CODEC)
         self._heard_at = self.now
+        pending = self._pending
+        self._pending = []
+        for one in pending:
+            self._send(one)
 
     @task.handles(sockets.DataReceived)
     def _on_data(self, message: sockets.DataReceived) -> None:
@@ -88,7 +102,7 @@
             _LOGGER.warning(
                 "%s sent what is no frame: %s", self._address, error
             )
-            self._drop()
+            self._lose("it sent what is no frame")
             return
         for one in received:
             if isinstance(one, relay.Update):
@@ -98,16 +112,24 @@
 
     @task.handles(relay.Borrow)
     def _on_borrow(self, message: relay.Borrow) -> None:
-        if self._transport is not None:
-            self._transport.write(codec.CODEC.encode(message))
+        self._send(message)
 
     @task.handles(sockets.EndReceived)
     def _on_end_received(self, message: sockets.EndReceived) -> None:
-        self._drop()
+        self._lose("it closed the connection")
 
     @task.handles(sockets.SocketClosed)
     def _on_closed(self, message: sockets.SocketClosed) -> None:
-        self._transport = None
+        if self._transport is not None:
+            self._lose(f"connection lost: {message.error}")
+
+    def _lose(self, reason: str) -> None:
+        """Drop the connection and tell the control task."""
+        self._drop()
+        if self._address is not None:
+            self._control.post(
+                messages.LinkLost(address=self._address, reason=reason)
+            )
 
     @task.handles(sockets.WritePaused)
     def _on_write_paused(self, message: sockets.WritePaused) -> None:
@@ -122,6 +144,7 @@
         self._drop()
 
     def _drop(self) -> None:
+        self._pending.clear()
         if self._connecting is not None:
             self._connecting.cancel()
             self._connecting = None
@@ -138,7 +161,7 @@
 
     async def _async_connect(self, address: addresses.Address) -> None:
         loop = asyncio.get_running_loop()
-        is_open = False
+        failure = ""
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT):
                 await loop.create_connection(
@@ -146,7 +169,7 @@
                     address.host,
                     address.port,
                 )
-            is_open = True
         except (OSError, TimeoutError) as error:
-            _LOGGER.info("no connection to %s: %s", address, error)
-        self.inbox.post(ConnectOver(address=address, is_open=is_open))
+            failure = str(error) or "connection timed out"
+            _LOGGER.info("no connection to %s: %s", address, failure)
+        self.inbox.post(ConnectOver(address=address, error=failure))
--- a/dragonflyshelf/runtime/relay/messages.py
+++ b/dragonflyshelf/runtime/relay/messages.py
@@ -2,8 +2,8 @@
 
 import dataclasses
 
+from dragonflyshelf.core import addresses
 from dragonflyshelf.core.relay import messages as relay
-from dragonflyshelf.runtime import addresses
 from dragonflyshelf.runtime import inbox
 
 
@@ -42,3 +42,11 @@
     """The instance that is followed has answered or told news."""
 
     update: relay.Update
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LinkLost:
+    """The connection to the followed instance has ended or never opened."""
+
+    address: addresses.Address
+    reason: str
--- a/tests/core/quota/test_limits.py
+++ b/tests/core/quota/test_limits.py
@@ -6,8 +6,11 @@
 
 from dragonflyshelf.core import ids
 from dragonflyshelf.core.quota import bucket
+from dragonflyshelf.core.quota import const
 from dragonflyshelf.core.quota import lender
 from dragonflyshelf.core.quota import limiter
+from dragonflyshelf.core.quota import messages
+from dragonflyshelf.core.quota import pool
 from dragonflyshelf.core.routing import objects
 
 ONE = ids.WorkspaceId("one")
@@ -25,15 +28,15 @@
 class Fleet:
     """A home of tokens and the limiters that borrow from it."""
 
-    def __init__(self) -> None:
+    def __init__(self, instances: int = INSTANCES) -> None:
         """Create the parts; the home answers at once."""
         self.now = ids.Instant(10.0)
         self.home = lender.TokenLender()
         self.home.set_workspaces((workspace(),), self.now)
-        self.limiters = [limiter.WorkspaceLimiter() for _ in range(INSTANCES)]
+        self.limiters = [limiter.WorkspaceLimiter() for _ in range(instances)]
         for one in self.limiters:
             one.set_workspaces((workspace(),))
-            one.set_instances(INSTANCES)
+            one.set_instances(instances)
         self.is_reached = True
         self.admitted: list[float] = []
 
@@ -49,7 +52,7 @@
         if waiting and self.is_reached:
             admitted = one.retake(ONE, self.now)
         elif waiting:
-            self.now = ids.Instant(self.now + limiter.LEADER_SILENCE)
+            self.now = ids.Instant(self.now + const.LEADER_SILENCE)
             assert one.overdue(ONE, self.now)
             admitted = one.retake(ONE, self.now)
         if admitted:
@@ -94,6 +97,21 @@
             refused += not fleet.ask(chance.randrange(INSTANCES))
         assert refused <= 5
 
+    @pytest.mark.parametrize("seed", range(5))
+    def test_tokens_of_rare_requests(self, seed: int) -> None:
+        """Requests that are spread thin use one token each.
+
+        With 64 instances each sees a request of the workspace only now
+        and then; what it borrows ahead is lost to the others.
+        """
+        chance = random.Random(seed)
+        fleet = Fleet(64)
+        refused = 0
+        for _ in range(int(RATE * 0.8 * 20)):
+            fleet.now = ids.Instant(fleet.now + chance.expovariate(RATE * 0.8))
+            refused += not fleet.ask(chance.randrange(64))
+        assert refused <= 5
+
     def test_without_a_leader(self) -> None:
         """Half of the rate is served while nobody lends."""
         fleet = Fleet()
@@ -103,8 +121,8 @@
             fleet.ask(number % INSTANCES)
         seconds = fleet.now - 10.0
         served = len(fleet.admitted)
-        assert served <= RATE * limiter.FALLBACK_PART * (seconds + 2)
-        assert served >= RATE * limiter.FALLBACK_PART * seconds * 0.7
+        assert served <= RATE * const.FALLBACK_PART * (seconds + 2)
+        assert served >= RATE * const.FALLBACK_PART * seconds * 0.7
 
     def test_lowered_limit(self) -> None:
         """A lowered rate binds at once."""
@@ -119,6 +137,55 @@
         assert len(fleet.admitted) <= 5 * 5 + 5
 
 
+class TestRelay:
+    """A relay borrows for the instances behind it."""
+
+    def lend(self, tokens: int, wait: float = 0.0) -> messages.LendTokens:
+        """Return an answer of the leading instance."""
+        return messages.LendTokens(workspace=ONE, tokens=tokens, wait=wait)
+
+    def borrow(
+        self, made: pool.TokenPool, link: str, now: float, tokens: int = 1
+    ) -> list[pool.Answer]:
+        """Let a member borrow; return what it is told at once."""
+        wanted = messages.BorrowTokens(workspace=ONE, tokens=tokens)
+        return list(made.borrow(link, wanted, ids.Instant(now)))
+
+    def test_members_share_an_answer(self) -> None:
+        """Two that wait are asked for in one call and both answered."""
+        made = pool.TokenPool()
+        assert not self.borrow(made, "one", 1.0)
+        first = made.wanted(ONE, True, ids.Instant(1.0))
+        assert first is not None and first.tokens == 1
+        assert not self.borrow(made, "two", 1.01, tokens=2)
+        assert made.wanted(ONE, True, ids.Instant(1.01)) is None
+        told = list(made.lent(self.lend(1), ids.Instant(1.02)))
+        assert [one.link for one in told] == ["one"]
+        second = made.wanted(ONE, True, ids.Instant(1.02))
+        assert second is not None and second.tokens == 2
+
+    def test_what_is_not_lent_is_not_given(self) -> None:
+        """A relay gives away no more than it was lent, and not for long."""
+        made = pool.TokenPool()
+        self.borrow(made, "one", 1.0)
+        made.wanted(ONE, True, ids.Instant(1.0))
+        told = list(made.lent(self.lend(2), ids.Instant(1.01)))
+        assert sum(one.lend.tokens for one in told) == 1
+        late = 1.01 + const.RELAY_STOCK_LIFE + 0.01
+        assert not self.borrow(made, "two", late)
+
+    def test_empty_home(self) -> None:
+        """Members are told at once when there is nothing for a while."""
+        made = pool.TokenPool()
+        self.borrow(made, "one", 1.0)
+        made.wanted(ONE, True, ids.Instant(1.0))
+        (told,) = made.lent(self.lend(0, wait=0.5), ids.Instant(1.01))
+        assert (told.lend.tokens, round(told.lend.wait, 3)) == (0, 0.5)
+        (told,) = self.borrow(made, "two", 1.31)
+        assert told.lend.wait == pytest.approx(0.2)
+        assert made.wanted(ONE, True, ids.Instant(1.31)) is None
+
+
 class TestBucket:
     """Tokens accrue at the rate, up to the burst."""
 
--- a/tests/core/relay/test_relay.py
+++ b/tests/core/relay/test_relay.py
@@ -1,10 +1,17 @@
 """Tests of passing objects on, and of how fresh they then are."""
 
+import dataclasses
+
+from dragonflyshelf.core import addresses
+from dragonflyshelf.core.grantor import messages as grantor
+from dragonflyshelf.core.grantor import objects as objects_of_lease
 from dragonflyshelf.core import ids
 from dragonflyshelf.core.relay import followers
+from dragonflyshelf.core.relay import following
 from dragonflyshelf.core.relay import messages
 from dragonflyshelf.core.relay import source
 from dragonflyshelf.core.relay import sources
+from dragonflyshelf.core import settings
 from dragonflyshelf.core.store import messages as store
 from dragonflyshelf.core.store import replica
 from tests.core.store import test_replica as objects
@@ -17,15 +24,31 @@
     return ids.Instant(seconds)
 
 
-def ask(number: int, revision: int, name: str = "i2") -> messages.Ask:
+OWN = settings.InstanceSettings(
+    name=ids.InstanceId("i1"), data_centre=ids.DataCentreId("a")
+)
+
+
+def address(name: str) -> addresses.Address:
+    """Return where an instance of that name is asked."""
+    return addresses.Address(host=name, port=7100)
+
+
+def ask(
+    number: int, revision: int, name: str = "i2", **values: object
+) -> messages.Ask:
     """Return an ask of a follower that knows a revision."""
+    fields: dict[str, object] = {"data_centre": ids.DataCentreId("a")}
+    fields.update(values)
     return messages.Ask(
         instance=ids.InstanceId(name),
+        address=address(name),
         number=number,
         known=(
             messages.KnownRevision(kind=KIND, revision=ids.Revision(revision)),
         ),
         loads=(),
+        **fields,  # type: ignore[arg-type]
     )
 
 
@@ -104,7 +127,7 @@
         """Return a collection over a copy with one object."""
         copies = replica.Replica()
         copies.take_list(objects.listed(5, 1.0, objects.one("a", 4)))
-        return followers.Followers(ids.InstanceId("i1"), copies)
+        return followers.Followers(OWN, copies)
 
     def test_is_told_once(self) -> None:
         """What an update has told is not told again."""
@@ -141,6 +164,135 @@
         assert found.instances(at(2.1)) == ("i1", "i9")
 
 
+class TestRelays:
+    """One follower in each other data centre passes things on."""
+
+    def collection(self) -> followers.Followers:
+        """Return the followers of a leader in data centre a."""
+        return followers.Followers(OWN, replica.Replica())
+
+    def test_second_follower_is_sent_to_the_first(self) -> None:
+        """The first that asks from a data centre serves the others."""
+        found = self.collection()
+        away = ids.DataCentreId("b")
+        found.asked("first", ask(1, 0, "i2", data_centre=away), at(2.0))
+        found.asked("second", ask(1, 0, "i3", data_centre=away), at(2.1))
+        first = found.update("first", True, at(2.1))
+        second = found.update("second", True, at(2.1))
+        assert first.relay == addresses.NOWHERE
+        assert second.relay == address("i2")
+
+    def test_own_data_centre(self) -> None:
+        """Followers in the leader's data centre stay with it."""
+        found = self.collection()
+        found.asked("first", ask(1, 0, "i2"), at(2.0))
+        found.asked("second", ask(1, 0, "i3"), at(2.1))
+        assert found.update("second", True, at(2.1)).relay == addresses.NOWHERE
+
+    def test_relay_that_is_lost(self) -> None:
+        """The next that asks takes the place of a silent relay."""
+        found = self.collection()
+        away = ids.DataCentreId("b")
+        found.asked("first", ask(1, 0, "i2", data_centre=away), at(2.0))
+        found.update("first", True, at(2.0))
+        found.asked("second", ask(1, 0, "i3", data_centre=away), at(3.5))
+        assert found.update("second", True, at(3.5)).relay == addresses.NOWHERE
+
+    def test_only_the_leader_names_relays(self) -> None:
+        """A relay sends nobody on."""
+        found = self.collection()
+        away = ids.DataCentreId("b")
+        found.asked("first", ask(1, 0, "i2", data_centre=away), at(2.0))
+        found.asked("second", ask(1, 0, "i3", data_centre=away), at(2.1))
+        found.update("first", False, at(2.1))
+        assert found.update("second", False, at(2.1)).relay == (
+            addresses.NOWHERE
+        )
+
+    def test_members_are_reckoned_with(self) -> None:
+        """The leader knows the instances behind a relay."""
+        found = self.collection()
+        members = (ids.InstanceId("i3"), ids.InstanceId("i4"))
+        found.asked("first", ask(1, 0, "i2", members=members), at(2.0))
+        assert found.instances(at(2.1)) == ("i1", "i2", "i3", "i4")
+
+    def test_loads_of_members_are_summed(self) -> None:
+        """A relay reports the load of its members with its own."""
+        found = self.collection()
+        load = grantor.RangeLoad(
+            service=ids.ServiceName("archive"),
+            first=ids.ShardKey(64),
+            rate=2.0,
+        )
+        asked = dataclasses.replace(ask(1, 0, "i2"), loads=(load,))
+        found.asked("first", asked, at(2.0))
+        (summed,) = found.with_loads_of_members((load,), at(2.5))
+        assert summed.rate == 4.0
+        assert found.with_loads_of_members((load,), at(4.0)) == (load,)
+
+
+class TestFollowing:
+    """Whom an instance asks."""
+
+    def following(self) -> following.Following:
+        """Return the choice of an instance that has seen a lease."""
+        made = following.Following(ids.InstanceId("i3"))
+        made.see_lease(self.lease("i1"))
+        return made
+
+    def lease(self, holder: str, count: int = 1) -> objects_of_lease.Lease:
+        """Return a lease with its holder's address."""
+        return objects_of_lease.Lease(
+            holder=ids.InstanceId(holder),
+            incarnation=ids.Incarnation(1),
+            host=holder,
+            port=7100,
+            count=count,
+        )
+
+    def test_leader_then_relay(self) -> None:
+        """The leader is asked until it names a relay."""
+        made = self.following()
+        assert made.address == address("i1")
+        made.updated(address("i2"), at(1.0))
+        assert made.address == address("i2")
+        made.see_lease(self.lease("i1", count=2))
+        assert made.address == address("i2")
+
+    def test_new_leader(self) -> None:
+        """A relay counts for the leader that has named it."""
+        made = self.following()
+        made.updated(address("i2"), at(1.0))
+        made.see_lease(self.lease("i9"))
+        assert made.address == address("i9")
+
+    def test_own_lease(self) -> None:
+        """A leader asks nobody."""
+        made = self.following()
+        made.updated(address("i2"), at(1.0))
+        made.see_lease(self.lease("i3"))
+        assert made.address is None
+
+    def test_silent_relay(self) -> None:
+        """A silent relay is left, and not taken again at once."""
+        made = self.following()
+        made.updated(address("i2"), at(1.0))
+        assert not made.is_useless(0.5, at(1.6))
+        assert made.is_useless(0.5, at(1.8))
+        made.lose(at(1.8))
+        assert made.address == address("i1")
+        made.updated(address("i2"), at(2.0))
+        assert made.address == address("i1")
+        made.updated(address("i2"), at(7.0))
+        assert made.address == address("i2")
+
+    def test_relay_that_is_cut_off(self) -> None:
+        """A relay whose objects are old is left before the store is asked."""
+        made = self.following()
+        made.updated(address("i2"), at(1.0))
+        assert made.is_useless(sources.DIRECT_AFTER - 0.1, at(1.1))
+
+
 class TestSource:
     """When an instance makes calls of its own."""
 
