Measure paces by all instances, and level around hot keys

Answers and their seconds are now summed over all instances, fade over 6 s and are told to all, also for the choice among undivided upstreams. What lies beside a hot bucket moves away and the bucket stays unless another holder is much faster. A quarter of the upstreams may have a range in motion at a time.

Ruled out: moving the hot bucket as before (its keys are unserved meanwhile, and the next holder is overloaded as well). The new tests of levelling fail on the code before.

--- a/dragonflyshelf/codec/relay.capnp
+++ b/dragonflyshelf/codec/relay.capnp
@@ -38,6 +38,12 @@
   port @1 :UInt16;
 }
 
+struct Pace {
+  life @0 :Text;
+  seconds @1 :Float32;
+  answers @2 :Float32;
+}
+
 struct Ask {
   instance @0 :Text;
   dataCentre @1 :Text;
@@ -46,6 +52,7 @@
   known @4 :List(KnownRevision);
   loads @5 :List(RangeLoad);
   members @6 :List(Text);
+  paces @7 :List(Pace);
 }
 
 struct Change {
@@ -68,6 +75,7 @@
   kinds @1 :List(Kind);
   instances @2 :List(Text);
   relay @3 :Address;
+  paces @4 :List(Pace);
 }
 
 struct Frame {
--- a/dragonflyshelf/core/grantor/const.py
+++ b/dragonflyshelf/core/grantor/const.py
@@ -17,6 +17,9 @@
 WORTHWHILE: Final = 0.95
 """Part of the highest use below which a move has to bring it."""
 
+HOT_WORTHWHILE: Final = 0.75
+"""The same for a bucket that overloads its holder by itself."""
+
 LEAST_LOAD: Final = 5.0
 """Requests a second of a service below which nothing moves for load."""
 
@@ -29,8 +32,11 @@
 LONGEST_PAUSE: Final = 0.6
 """Seconds without a tick after which an instance was paused."""
 
-MOST_MOVES: Final = 4
-"""Ranges that are moved for load at the same time."""
+LEAST_MOVES: Final = 4
+"""Ranges that may be moved for load at the same time at least."""
+
+MOVING_SHARE: Final = 0.25
+"""Ranges that may be moved at the same time, for each upstream."""
 
 MOST_ROWS: Final = 160
 """Ranges of a service past which none is split any more."""
--- a/dragonflyshelf/core/grantor/coordinator.py
+++ b/dragonflyshelf/core/grantor/coordinator.py
@@ -175,9 +175,9 @@
             loads = tuple(one for one in event.loads if one.service == service)
             keeper.loads.report(event.instance, loads, now)
 
-    @HANDLERS.register(messages.PacesMeasured)
+    @HANDLERS.register(upstream_events.PacesChanged)
     def _on_paces(
-        self, event: messages.PacesMeasured, now: ids.Instant
+        self, event: upstream_events.PacesChanged, now: ids.Instant
     ) -> None:
         for keeper in self._keepers_by_service.values():
             keeper.set_paces(event.paces)
--- a/dragonflyshelf/core/grantor/levelling.py
+++ b/dragonflyshelf/core/grantor/levelling.py
@@ -15,10 +15,17 @@
 from dragonflyshelf.core.grantor import planning
 from dragonflyshelf.core import ids
 from dragonflyshelf.core.upstreams import objects as upstreams
+from dragonflyshelf.core.upstreams import paces
 
 Rows = tuple[objects.Assignment, ...]
 
 
+LEAST_RELIEF = 0.2
+"""Requests a second of a range below which it may stay by a hot one."""
+
+LEAST_SECONDS = 0.001
+"""Seconds that a request is taken to last at least."""
+
 LEAST_RATE = 0.05
 """Requests a second below which a bucket is forgotten."""
 
@@ -74,17 +81,21 @@
 
 
 def capacities(
-    candidates: abc.Iterable[upstreams.Registration],
-    seconds_by_life: dict[ids.UpstreamLife, float],
+    candidates: abc.Collection[upstreams.Registration],
+    paces_by_life: dict[ids.UpstreamLife, paces.UpstreamPace],
 ) -> dict[ids.UpstreamLife, float]:
     """Return what each upstream can serve, relative to the others."""
-    known = [one for one in seconds_by_life.values() if one > 0]
-    mean = sum(known) / len(known) if known else 1.0
-    found = {}
-    for one in candidates:
-        pace = mean / seconds_by_life.get(one.life, mean)
+    measured = [
+        paces_by_life[one.life]
+        for one in candidates
+        if one.life in paces_by_life
+    ]
+    mean = paces.mean_of(measured, default=1.0)
+    found = {one.life: float(one.slots) for one in candidates}
+    for one in measured:
+        pace = mean / max(one.service_time(mean), LEAST_SECONDS)
         pace = min(max(pace, 1 / const.PACE_SPREAD), const.PACE_SPREAD)
-        found[one.life] = one.slots * pace
+        found[one.life] *= pace
     return found
 
 
@@ -137,9 +148,9 @@
                 rate = self._rate(row.first, row.last)
                 self._load_by_life[row.life] += rate
 
-    def level(self) -> Rows:
+    def level(self, most_moves: int) -> Rows:
         """Return the rows with a few pieces moved, or as they are."""
-        for _ in range(const.MOST_MOVES):
+        for _ in range(most_moves):
             if not self._move_one():
                 break
         firsts = sorted(self._rows_by_first)
@@ -161,48 +172,108 @@
         return load / self._capacity_by_life[life]
 
     def _move_one(self) -> bool:
-        lives = list(self._load_by_life)
-        if len(lives) < 2 or len(self._rows_by_first) > const.MOST_ROWS:
+        if len(self._load_by_life) < 2:
+            return False
+        if len(self._rows_by_first) > const.MOST_ROWS:
             return False
-        worst = max(lives, key=self._use)
         total = sum(self._load_by_life.values())
         mean = total / sum(self._capacity_by_life.values())
-        if self._use(worst) < const.OVERLOAD * mean:
-            return False
-        move = self._best_move(worst)
-        if move is None:
-            return False
-        self._make(move, worst)
-        return True
-
-    def _best_move(self, worst: ids.UpstreamLife) -> Move | None:
+        bound = const.OVERLOAD * mean
+        for life in sorted(self._load_by_life, key=self._use, reverse=True):
+            if self._use(life) < bound:
+                return False
+            hot = self._hot_bucket(life, bound)
+            move = self._relief(life, hot) if hot is not None else None
+            move = move or self._best_move(life, hot)
+            if move is not None:
+                self._make(move, life)
+                return True
+        return False
+
+    def _hot_bucket(
+        self, life: ids.UpstreamLife, bound: float
+    ) -> ids.ShardKey | None:
+        """Return the bucket that overloads its holder by itself."""
+        rate, bucket = max(
+            (
+                (rate, bucket)
+                for row in self._rows_of(life)
+                for bucket, rate in self._named(row.first, row.last)
+            ),
+            default=(0.0, None),
+        )
+        if rate / self._capacity_by_life[life] < bound:
+            return None
+        return bucket
+
+    def _relief(
+        self, source: ids.UpstreamLife, hot: ids.ShardKey
+    ) -> Move | None:
+        """Return the move of what suffers most beside a hot bucket.
+
+        The hot bucket stays: it would overload any other holder too,
+        and nobody serves its keys while they move.
+        """
+        pieces = [
+            one
+            for one in self._pieces(source)
+            if not one.first <= hot <= one.last
+        ]
+        if not pieces:
+            return None
+        piece = max(pieces, key=lambda one: one.rate)
+        target = min(
+            (one for one in self._load_by_life if one != source),
+            key=lambda one: self._use(one, piece.rate),
+        )
+        after = self._use(target, piece.rate)
+        if after >= self._use(source) * const.WORTHWHILE:
+            return None
+        if piece.rate < LEAST_RELIEF:
+            return None
+        return Move(piece=piece, target=target, use_after=after)
+
+    def _best_move(
+        self, worst: ids.UpstreamLife, hot: ids.ShardKey | None
+    ) -> Move | None:
         """Return the move that lowers the higher use of both most."""
         found: Move | None = None
-        lowest = self._use(worst) * const.WORTHWHILE
+        before = self._use(worst)
+        lowest = before * const.WORTHWHILE
         for piece in self._pieces(worst):
+            is_hot = hot is not None and piece.first <= hot <= piece.last
+            bound = before * const.HOT_WORTHWHILE if is_hot else before
+            bound = min(bound, lowest)
             source_after = self._use(worst, -piece.rate)
-            if source_after >= lowest:
+            if source_after >= bound:
                 continue
             for target in self._load_by_life:
                 if target == worst:
                     continue
                 after = max(source_after, self._use(target, piece.rate))
-                if after < lowest:
+                if after < bound:
                     found = Move(piece=piece, target=target, use_after=after)
-                    lowest = after
+                    lowest = bound = after
         return found
 
-    def _pieces(self, life: ids.UpstreamLife) -> abc.Iterator[Piece]:
-        """Yield busy buckets, whole ranges and halves of ranges."""
-        rows = [
+    def _rows_of(self, life: ids.UpstreamLife) -> list[objects.Assignment]:
+        """Return the ranges of a holder that are not moving."""
+        return [
             one
             for one in self._rows_by_first.values()
             if one.life == life and one.is_settled
         ]
-        for row in rows:
+
+    def _pieces(self, life: ids.UpstreamLife) -> abc.Iterator[Piece]:
+        """Yield busy buckets, whole ranges and halves of ranges."""
+        for row in self._rows_of(life):
             for bucket, _ in self._named(row.first, row.last):
                 end = min(row.last, bucket + objects.BUCKET_KEYS - 1)
                 yield self._piece(row, max(bucket, row.first), end)
+                if row.first < bucket:
+                    yield self._piece(row, row.first, bucket - 1)
+                if end < row.last:
+                    yield self._piece(row, end + 1, row.last)
             yield self._piece(row, row.first, row.last)
             middle = objects.bucket_of(
                 ids.ShardKey((row.first + row.last) // 2)
--- a/dragonflyshelf/core/grantor/messages.py
+++ b/dragonflyshelf/core/grantor/messages.py
@@ -78,21 +78,6 @@
     loads: tuple[RangeLoad, ...]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class UpstreamPace:
-    """How many seconds an upstream takes for a request."""
-
-    life: ids.UpstreamLife
-    service_time: float
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class PacesMeasured:
-    """Event: how fast the upstreams answer this instance."""
-
-    paces: tuple[UpstreamPace, ...]
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class TimePassed:
     """Event: the instant that ``wake_at`` named has come."""
@@ -167,7 +152,7 @@
     | ControlWritten
     | upstream_events.EvacuationsChanged
     | LoadReported
-    | PacesMeasured
+    | upstream_events.PacesChanged
     | RangeAnswered
     | upstream_events.RegistrationsChanged
     | Resign
--- a/dragonflyshelf/core/grantor/shards.py
+++ b/dragonflyshelf/core/grantor/shards.py
@@ -18,6 +18,7 @@
 from dragonflyshelf.core import settings
 from dragonflyshelf.core.store import messages as store
 from dragonflyshelf.core.upstreams import objects as upstreams
+from dragonflyshelf.core.upstreams import paces
 
 Effects = list[messages.Effect]
 RangeState = holdings.RangeState
@@ -46,7 +47,7 @@
         self._writing = False
         self._next_level = holdings.NEVER
         self._newest_at = holdings.NEVER
-        self._paces_by_life: dict[ids.UpstreamLife, float] = {}
+        self._paces_by_life: dict[ids.UpstreamLife, paces.UpstreamPace] = {}
         self.loads = levelling.LoadMap()
         self._next_write = holdings.NEVER
         self._plan_from = holdings.NEVER
@@ -75,9 +76,9 @@
                 one.life, ids.Instant(now + one.warmup_left)
             )
 
-    def set_paces(self, paces: tuple[messages.UpstreamPace, ...]) -> None:
+    def set_paces(self, known: paces.Paces) -> None:
         """Take over how fast the upstreams answer."""
-        self._paces_by_life = {one.life: one.service_time for one in paces}
+        self._paces_by_life = {one.life: one for one in known}
 
     def see(self, seen: messages.ControlSeen) -> None:
         """Take in the plan as the store has it."""
@@ -225,10 +226,10 @@
                 row = planning.moved(row, balance.least())
             found.append(row)
         planned = tuple(found)
-        if all(one.is_settled for one in planned) and now >= self._next_level:
-            self._next_level = ids.Instant(now + const.BALANCE_INTERVAL)
-            planned = self._levelled(planned, candidates, now)
-        return planned
+        if now < self._next_level:
+            return planned
+        self._next_level = ids.Instant(now + const.BALANCE_INTERVAL)
+        return self._levelled(planned, candidates, now)
 
     def _levelled(
         self,
@@ -237,11 +238,16 @@
         now: ids.Instant,
     ) -> tuple[objects.Assignment, ...]:
         """Return the rows with busy buckets moved to holders with room."""
+        allowed = max(
+            const.LEAST_MOVES, int(const.MOVING_SHARE * len(candidates))
+        )
+        allowed -= sum(not one.is_settled for one in rows)
         load = self.loads.by_bucket(now)
         if load.get(objects.ALL_KEYS, 0.0) < const.LEAST_LOAD:
             return rows
         capacity = levelling.capacities(candidates, self._paces_by_life)
-        return levelling.Leveller(rows, candidates, load, capacity).level()
+        leveller = levelling.Leveller(rows, candidates, load, capacity)
+        return leveller.level(allowed)
 
     def _settled(self, held: holdings.Holding) -> objects.Assignment:
         """Return the assignment, settled once the new holder has it."""
--- a/dragonflyshelf/core/relay/messages.py
+++ b/dragonflyshelf/core/relay/messages.py
@@ -7,6 +7,7 @@
 from dragonflyshelf.core import ids
 from dragonflyshelf.core.quota import messages as quota
 from dragonflyshelf.core.store import messages as store
+from dragonflyshelf.core.upstreams import paces as pace
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -23,7 +24,8 @@
 
     ``number`` grows with each ask of one connection. ``address`` is
     where others may ask the follower in turn. ``members`` are the
-    instances that asked it of late, and ``loads`` has theirs too.
+    instances that asked it of late; ``loads`` and ``paces``, what was
+    measured since the last report, have theirs too.
     """
 
     instance: ids.InstanceId
@@ -33,6 +35,7 @@
     known: tuple[KnownRevision, ...]
     loads: tuple[grantor.RangeLoad, ...]
     members: tuple[ids.InstanceId, ...] = ()
+    paces: pace.Paces = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -68,12 +71,14 @@
     ``instances`` are those that the leading instance reckons with. They
     are left out when they are those of the update before. ``relay`` is
     whom to ask from now on, ``NOWHERE`` for the sender itself.
+    ``paces`` is empty when the leading instance has told no newer ones.
     """
 
     number: int
     kinds: tuple[RelayedKind, ...]
     instances: tuple[ids.InstanceId, ...]
     relay: addresses.Address = addresses.NOWHERE
+    paces: pace.Paces = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/dragonflyshelf/core/scheduling/coordinator.py
+++ b/dragonflyshelf/core/scheduling/coordinator.py
@@ -22,6 +22,7 @@
 from dragonflyshelf.core import settings
 from dragonflyshelf.core import states
 from dragonflyshelf.core.upstreams import messages as upstream_events
+from dragonflyshelf.core.upstreams import paces
 from dragonflyshelf.core.upstreams import state
 
 Effects = list[messages.Effect]
@@ -51,6 +52,7 @@
         self.placement = placement.Placement(self.fleet)
         self._retries = retries.RetryJudge(config, self.budget)
         self.loads = loads.ShardLoads()
+        self.paces = paces.PaceTally()
         self._split = split.WeightedSplit()
         self.exchanges_by_id: dict[ids.ExchangeId, exchanges.Exchange] = {}
         self._borrowing_by_workspace: dict[
@@ -212,6 +214,7 @@
         if event.result is state.AttemptResult.ANSWERED:
             life = upstream.registration.life
             service.count_answer(life, seconds, now)
+            self.paces.count(life, upstream.usual_time(seconds, now))
         exchange.upstream = None
         exchange.phase = Phase.DONE
         effects: Effects = []
@@ -416,6 +419,13 @@
         self.fleet.set_evacuated(event.data_centres, now)
         return self._place_again(now)
 
+    @HANDLERS.register(upstream_events.PacesChanged)
+    def _on_paces(
+        self, event: upstream_events.PacesChanged, now: ids.Instant
+    ) -> Effects:
+        self.fleet.set_paces(event.paces)
+        return []
+
     @HANDLERS.register(messages.AssignmentsChanged)
     def _on_assignments(
         self, event: messages.AssignmentsChanged, now: ids.Instant
--- a/dragonflyshelf/core/scheduling/fleet.py
+++ b/dragonflyshelf/core/scheduling/fleet.py
@@ -2,13 +2,13 @@
 
 from collections import abc
 
-from dragonflyshelf.core.grantor import messages as grantor
 from dragonflyshelf.core import ids
 from dragonflyshelf.core.routing import objects as routing
 from dragonflyshelf.core.scheduling import service as services
 from dragonflyshelf.core import settings
 from dragonflyshelf.core.upstreams import choice
 from dragonflyshelf.core.upstreams import objects
+from dragonflyshelf.core.upstreams import paces
 from dragonflyshelf.core.upstreams import ramp
 from dragonflyshelf.core.upstreams import state
 
@@ -141,15 +141,12 @@
         policy = choice.POLICIES.get(choice.DEFAULT_POLICY)
         return policy(choice.without_ejected(candidates, now), choosing)
 
-    def paces(self) -> tuple[grantor.UpstreamPace, ...]:
-        """Return how fast the upstreams of sharded services answer."""
-        return tuple(
-            grantor.UpstreamPace(life=life, service_time=one.base_time)
-            for name, found in self._states_by_service.items()
-            if self.is_sharded(name)
-            for life, one in found.upstreams_by_life.items()
-            if one.base_time
-        )
+    def set_paces(self, known: paces.Paces) -> None:
+        """Take over how fast the upstreams answer all instances."""
+        paces_by_life = {one.life: one for one in known}
+        for found in self._states_by_service.values():
+            for life, one in found.upstreams_by_life.items():
+                one.pace = paces_by_life.get(life)
 
     def _warmup_rate(self, one: state.UpstreamState) -> float:
         terms = self._services_by_name.get(one.registration.service)
--- a/dragonflyshelf/core/scheduling/messages.py
+++ b/dragonflyshelf/core/scheduling/messages.py
@@ -117,6 +117,7 @@
     | upstream_events.EvacuationsChanged
     | ExchangeFinished
     | InstancesChanged
+    | upstream_events.PacesChanged
     | upstream_events.RegistrationsChanged
     | RequestArrived
     | TimePassed
--- a/dragonflyshelf/core/upstreams/const.py
+++ b/dragonflyshelf/core/upstreams/const.py
@@ -2,9 +2,6 @@
 
 from typing import Final
 
-BASE_WEIGHT: Final = 0.05
-"""Weight of the newest answer in the mean time at the usual pace."""
-
 CROSS_DATA_CENTRE_COST: Final = 0.9
 """Part of a service time that another data centre must be better by."""
 
--- a/dragonflyshelf/core/upstreams/messages.py
+++ b/dragonflyshelf/core/upstreams/messages.py
@@ -4,6 +4,7 @@
 
 from dragonflyshelf.core import ids
 from dragonflyshelf.core.upstreams import objects
+from dragonflyshelf.core.upstreams import paces as pace
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -18,3 +19,10 @@
     """Other data centres than before are evacuated."""
 
     data_centres: frozenset[ids.DataCentreId]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class PacesChanged:
+    """The leading instance has told how fast upstreams answer."""
+
+    paces: pace.Paces
--- a/dragonflyshelf/core/upstreams/state.py
+++ b/dragonflyshelf/core/upstreams/state.py
@@ -5,6 +5,7 @@
 from dragonflyshelf.core import ids
 from dragonflyshelf.core.upstreams import const
 from dragonflyshelf.core.upstreams import objects
+from dragonflyshelf.core.upstreams import paces
 
 
 class AttemptResult(enum.Enum):
@@ -28,8 +29,8 @@
         self.in_flight = 0
         self.cold_until = ids.Instant(now + registration.warmup_left)
         self.service_time = 0.0
-        self.base_time = 0.0
-        """Mean seconds for a request at the usual pace, without a queue."""
+        self.pace: paces.UpstreamPace | None = None
+        """How fast the upstream answers all instances, once it is told."""
         self._failures_in_row = 0
         self.failure_share = 0.0
         self.ejected_until = ids.Instant(0.0)
@@ -56,7 +57,6 @@
             self._report_at = now
             self._in_flight_at_report = self.in_flight
         if result is AttemptResult.ANSWERED:
-            self._learn_base_time(seconds, now)
             self._learn_service_time(seconds)
             self._count_outcome(0.0, now)
         elif result is AttemptResult.FAILED:
@@ -95,6 +95,8 @@
         ``mean`` is the service time of an upstream not yet known.
         """
         lasting = self.service_time or mean
+        if self.pace is not None:
+            lasting = self.pace.service_time(mean)
         lasting *= self._slowness(now)
         ahead = (self.load(now) + 1) / max(self.registration.slots, 1)
         return lasting * max(ahead, 1.0) * (1.0 + 4.0 * self.failure_share)
@@ -106,13 +108,10 @@
             return 1.0
         return self._report.slowness
 
-    def _learn_base_time(self, seconds: float, now: ids.Instant) -> None:
+    def usual_time(self, seconds: float, now: ids.Instant) -> float:
+        """Return an answer's seconds at the usual speed, without a queue."""
         ahead = (self.load(now) + 1) / max(self.registration.slots, 1)
-        usual = seconds / (self._slowness(now) * max(ahead, 1.0))
-        if not self.base_time:
-            self.base_time = usual
-            return
-        self.base_time += const.BASE_WEIGHT * (usual - self.base_time)
+        return seconds / (self._slowness(now) * max(ahead, 1.0))
 
     def _learn_service_time(self, seconds: float) -> None:
         if not self.service_time:
--- a/dragonflyshelf/runtime/gateway/control.py
+++ b/dragonflyshelf/runtime/gateway/control.py
@@ -25,6 +25,7 @@
 from dragonflyshelf.core.store import messages as store
 from dragonflyshelf.core.store import replica
 from dragonflyshelf.core.upstreams import messages as upstream_events
+from dragonflyshelf.core.upstreams import paces
 from dragonflyshelf.runtime.callers import messages as callers
 from dragonflyshelf.runtime.gateway import decoding
 from dragonflyshelf.runtime.gateway import relaying
@@ -45,8 +46,11 @@
 LOGGED_MOVES: Final = 8
 """Moves that one line about a plan names at most."""
 
-SHARD_REPORT_INTERVAL: Final = 0.8
-"""Seconds between an instance's reports of its load by shard keys."""
+MEASURE_INTERVAL: Final = 0.8
+"""Seconds between an instance's reports of what it has measured."""
+
+PACES_INTERVAL: Final = 2.0
+"""Seconds between the leader's reports of how fast upstreams answer."""
 
 TICK: Final = 0.1
 """Seconds between looks at leases, grants and freshness."""
@@ -99,7 +103,8 @@
         self._watches = False
         self._instances: tuple[ids.InstanceId, ...] = ()
         self._next_ask = ids.Instant(0.0)
-        self._next_shard_report = ids.Instant(0.0)
+        self._next_measures = ids.Instant(0.0)
+        self._next_paces = ids.Instant(0.0)
         self._lost_kinds: set[Kind] = set()
         self.peers: Peers | None = None
         self.is_draining = False
@@ -353,13 +358,11 @@
 
     def _want_load(self) -> None:
         self._next_ask = ids.Instant(self.now + ASK_INTERVAL)
-        with_shards = self.now >= self._next_shard_report
-        if with_shards:
-            self._next_shard_report = ids.Instant(
-                self.now + SHARD_REPORT_INTERVAL
-            )
+        is_due = self.now >= self._next_measures
+        if is_due:
+            self._next_measures = ids.Instant(self.now + MEASURE_INTERVAL)
         self._inboxes.router.post(
-            router.LoadWanted(reply_to=self.inbox, with_shards=with_shards)
+            router.LoadWanted(reply_to=self.inbox, with_measures=is_due)
         )
 
     @task.handles(router.LoadTold)
@@ -367,7 +370,7 @@
         if self.is_leading:
             self._note_own_load(message)
             return
-        self._relaying.ask(message.loads, self.now)
+        self._relaying.ask(message.loads, message.paces, self.now)
 
     @task.handles(relay_messages.UpdateReceived)
     def _on_update(self, message: relay_messages.UpdateReceived) -> None:
@@ -380,6 +383,13 @@
         if message.update.instances:
             self._instances = message.update.instances
             self._tell_instances(message.update.instances)
+        if message.update.paces:
+            self._tell_paces(message.update.paces)
+
+    def _tell_paces(self, known: paces.Paces) -> None:
+        event = upstream_events.PacesChanged(paces=known)
+        self._inboxes.router.post(event)
+        self._run(event)
 
     @task.handles(relay_messages.LinkLost)
     def _on_link_lost(self, message: relay_messages.LinkLost) -> None:
@@ -413,6 +423,7 @@
         self._relaying.asked(message, self.is_leading, self.now)
         if self.is_leading:
             self._note_loads(message.ask.instance, message.ask.loads)
+            self._relaying.measured(message.ask.paces, self.now)
 
     def _note_loads(
         self, instance: ids.InstanceId, loads: tuple[grantor.RangeLoad, ...]
@@ -435,7 +446,10 @@
         missing = followers.missing(self.now)
         self._relaying.lender.reserve(missing, len(names), self.now)
         self._note_loads(self._own.holder, load.loads)
-        self._run(grantor.PacesMeasured(paces=load.paces))
+        self._relaying.measured(load.paces, self.now)
+        if self.now >= self._next_paces:
+            self._next_paces = ids.Instant(self.now + PACES_INTERVAL)
+            self._tell_paces(self._relaying.known_paces(self.now))
         self._tell_instances(names)
 
 
--- a/dragonflyshelf/runtime/gateway/relaying.py
+++ b/dragonflyshelf/runtime/gateway/relaying.py
@@ -22,6 +22,7 @@
 from dragonflyshelf.core import settings
 from dragonflyshelf.core.store import messages as store
 from dragonflyshelf.core.store import replica
+from dragonflyshelf.core.upstreams import paces
 from dragonflyshelf.runtime import inbox
 from dragonflyshelf.runtime.relay import messages
 
@@ -48,6 +49,8 @@
         self._following = following.Following(own.holder)
         self._number = 0
         self._asked_at_by_number: dict[int, ids.Instant] = {}
+        self._tally = paces.PaceTally()
+        self._measured = paces.PaceMap()
         self.lender = lender.TokenLender()
         self.followers = followers.Followers(config.instance, copies)
         self.router: inbox.Inbox | None = None
@@ -83,12 +86,16 @@
         self._post_address()
 
     def ask(
-        self, loads: tuple[grantor.RangeLoad, ...], now: ids.Instant
+        self,
+        loads: tuple[grantor.RangeLoad, ...],
+        measured: paces.Paces,
+        now: ids.Instant,
     ) -> None:
         """Ask the instance that is followed for what is new.
 
-        ``loads`` is empty between the reports of load.
+        ``loads`` and ``measured`` are empty between the reports.
         """
+        self._tally.add(measured)
         self._number += 1
         self._asked_at_by_number[self._number] = now
         self._asked_at_by_number.pop(self._number - ASKS_KEPT, None)
@@ -108,6 +115,7 @@
                 ),
                 loads=loads,
                 members=self.followers.members(now),
+                paces=self._tally.take(),
             )
         )
 
@@ -122,6 +130,8 @@
         self._post_address()
         if update.instances:
             self.followers.pass_on(update.instances)
+        if update.paces:
+            self.followers.paces = update.paces
         for relayed in update.kinds:
             yield source.to_event(relayed, asked_at)
 
@@ -129,9 +139,20 @@
         self, message: messages.AskReceived, leads: bool, now: ids.Instant
     ) -> None:
         """Answer a follower."""
+        if not leads:
+            self._tally.add(message.ask.paces)
         self.followers.asked(message.reply_to, message.ask, now)
         self._tell(message.reply_to, leads, now)
 
+    def measured(self, more: paces.Paces, now: ids.Instant) -> None:
+        """Take in, as the leading instance, what an instance measured."""
+        self._measured.add(more, now)
+
+    def known_paces(self, now: ids.Instant) -> paces.Paces:
+        """Return all that was measured, which goes to the followers."""
+        self.followers.paces = self._measured.known(now)
+        return self.followers.paces
+
     def tell_followers(self, leads: bool, now: ids.Instant) -> None:
         """Tell every follower what is new to it."""
         for box in self.followers:
--- a/dragonflyshelf/runtime/gateway/router.py
+++ b/dragonflyshelf/runtime/gateway/router.py
@@ -20,6 +20,7 @@
 from dragonflyshelf.core import settings
 from dragonflyshelf.core.upstreams import messages as upstream_events
 from dragonflyshelf.core.upstreams import objects as upstreams
+from dragonflyshelf.core.upstreams import paces as pace
 from dragonflyshelf.runtime import inbox
 from dragonflyshelf.runtime import logs
 from dragonflyshelf.runtime import messages as runtime_messages
@@ -42,19 +43,19 @@
 class LoadWanted:
     """The control task asks what the others need to know.
 
-    ``with_shards`` asks for the load by shard keys too.
+    ``with_measures`` asks for what was measured since the last time.
     """
 
     reply_to: inbox.Inbox
-    with_shards: bool
+    with_measures: bool
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class LoadTold:
-    """Load by shard keys since the last time, and upstreams' paces."""
+    """Load by shard keys and answers of upstreams since the last time."""
 
     loads: tuple[grantor.RangeLoad, ...] = ()
-    paces: tuple[grantor.UpstreamPace, ...] = ()
+    paces: pace.Paces = ()
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -164,6 +165,10 @@
         self._update_pools(message.registrations)
         self._run(message)
 
+    @task.handles(upstream_events.PacesChanged)
+    def _on_paces(self, message: upstream_events.PacesChanged) -> None:
+        self._run(message)
+
     @task.handles(upstream_events.EvacuationsChanged)
     def _on_evacuations(
         self, message: upstream_events.EvacuationsChanged
@@ -185,15 +190,12 @@
     @task.handles(LoadWanted)
     def _on_load_wanted(self, message: LoadWanted) -> None:
         core = self._core
-        shards: tuple[grantor.RangeLoad, ...] = ()
-        if message.with_shards:
-            shards = core.loads.take(self.now)
-        message.reply_to.post(
-            LoadTold(
-                loads=shards,
-                paces=core.fleet.paces(),
+        told = LoadTold()
+        if message.with_measures:
+            told = LoadTold(
+                loads=core.loads.take(self.now), paces=core.paces.take()
             )
-        )
+        message.reply_to.post(told)
 
     @task.handles(scheduling.TimePassed)
     def _on_time(self, message: scheduling.TimePassed) -> None:
--- a/tests/core/grantor/test_levelling.py
+++ b/tests/core/grantor/test_levelling.py
@@ -2,13 +2,16 @@
 
 import dataclasses
 
+from dragonflyshelf.core.grantor import const
 from dragonflyshelf.core.grantor import levelling
 from dragonflyshelf.core.grantor import objects
 from dragonflyshelf.core.grantor import planning
 from dragonflyshelf.core import ids
+from dragonflyshelf.core.upstreams import paces as pace
 from tests.core.grantor import world as worlds
 
 SERVICE = worlds.SERVICE
+ANSWERS = 100.0
 TOTAL = objects.ALL_KEYS
 UPSTREAMS = [
     worlds.Upstream(name=ids.UpstreamId(f"u{n}")).registration()
@@ -21,13 +24,20 @@
     load: dict[int, float], rows: levelling.Rows = ROWS, **paces: float
 ) -> levelling.Rows:
     """Return the rows after one look at a load."""
-    seconds = {one.life: paces.get(str(one.id), 0.1) for one in UPSTREAMS}
+    measured = {
+        one.life: pace.UpstreamPace(
+            life=one.life,
+            seconds=ANSWERS * paces.get(str(one.id), 0.1),
+            answers=ANSWERS,
+        )
+        for one in UPSTREAMS
+    }
     return levelling.Leveller(
         rows,
         UPSTREAMS,
         {ids.ShardKey(key): rate for key, rate in load.items()},
-        levelling.capacities(UPSTREAMS, seconds),
-    ).level()
+        levelling.capacities(UPSTREAMS, measured),
+    ).level(const.LEAST_MOVES)
 
 
 def settled(rows: levelling.Rows) -> levelling.Rows:
@@ -126,3 +136,49 @@
         higher = dataclasses.replace(second, epoch=ids.Epoch(8))
         (joined,) = levelling.merged([first, higher])
         assert joined.epoch == 8
+
+
+class TestHotKey:
+    """One key with most of the traffic of its holder."""
+
+    def test_neighbours_leave_its_holder(self) -> None:
+        """The rest of the holder's keys move, and the hot one stays."""
+        load = {0: 80.0, 64: 4.0, 640: 4.0, TOTAL: 120.0}
+        before = objects.ShardPlan(service=SERVICE, assignments=ROWS)
+        holder = before.find(ids.ShardKey(0)).life
+        rows = ROWS
+        for _ in range(6):
+            rows = settled(level(load, rows))
+        after = objects.ShardPlan(service=SERVICE, assignments=rows)
+        assert after.find(ids.ShardKey(0)).life == holder
+        assert after.find(ids.ShardKey(64)).life != holder
+        assert after.find(ids.ShardKey(640)).life != holder
+
+    def test_goes_to_a_much_faster_holder(self) -> None:
+        """A hot key moves where it is served much better."""
+        load = {0: 80.0, TOTAL: 90.0}
+        rows = ROWS
+        for _ in range(6):
+            rows = settled(level(load, rows, u0=0.2, u1=0.1, u2=0.05, u3=0.1))
+        after = objects.ShardPlan(service=SERVICE, assignments=rows)
+        assert after.find(ids.ShardKey(0)).upstream == "u2"
+
+    def test_others_are_levelled_meanwhile(self) -> None:
+        """Another overloaded holder is helped while a key is hot."""
+        load = {0: 80.0, TOTAL: 120.0}
+        second = ROWS[1]
+        for place in range(4):
+            load[second.first + 64 * place] = 10.0
+        rows = ROWS
+        for _ in range(6):
+            rows = settled(level(load, rows))
+        most = loads(rows, load)[second.upstream]
+        assert most <= 20.0
+
+    def test_moves_go_on_beside_one_that_lasts(self) -> None:
+        """A range whose former holder is busy does not stop the rest."""
+        load = {64 * n: 10.0 for n in range(16)}
+        load[TOTAL] = 160.0
+        stuck = planning.moved(ROWS[-1], UPSTREAMS[0])
+        rows = level(load, (*ROWS[:-1], stuck))
+        assert sum(not one.is_settled for one in rows) > 1
