Carry in the lease for how long a former holder may still send grants

A range moved 5 s later and was held twice.

The lease now says for how many seconds a former holder may send grants, and whoever takes it over counts them from when it saw the lease. Ruled out: waiting 12 s at each own restart (a restart then costs every lost upstream 12 s).

test_leader_that_starts_again and seed 2066 failed before and pass.

--- a/dragonflyshelf/core/grantor/lease.py
+++ b/dragonflyshelf/core/grantor/lease.py
@@ -122,21 +122,24 @@
             dataclasses.replace(
                 self._own,
                 count=self._lease.count + 1 if self._lease else 1,
+                former_for=round(max(self.predecessor_until - now, 0.0), 3),
             )
         )
 
     def _note_predecessor(self) -> None:
-        """Remember until when the former holder may send grants.
+        """Remember until when former holders may send grants.
 
-        A former process of this instance has ended.
+        A former process of this instance has ended, and a holder that
+        gave the lease up sends no more, but their own predecessors may.
         """
         self.predecessor_until = NEVER
         if self._lease is None:
             return
+        lasting = self._lease.former_for
         if self._lease.holder not in ("", self._own.holder):
-            self.predecessor_until = ids.Instant(
-                self._seen_at + self._continue_for
-            )
+            lasting = max(lasting, self._continue_for)
+        if lasting > 0:
+            self.predecessor_until = ids.Instant(self._seen_at + lasting)
 
     def _write(self, value: objects.Lease) -> messages.WriteControl:
         self._writing = messages.WriteControl(
--- a/dragonflyshelf/core/grantor/objects.py
+++ b/dragonflyshelf/core/grantor/objects.py
@@ -25,7 +25,8 @@
 class Lease:
     """The instance that leads, and how the others reach it.
 
-    ``count`` grows with each renewal.
+    ``count`` grows with each renewal. ``former_for`` is for how many
+    seconds after the renewal a former holder may still send grants.
     """
 
     holder: ids.InstanceId
@@ -33,6 +34,7 @@
     host: str
     port: int
     count: int
+    former_for: float = 0.0
 
     @property
     def address(self) -> addresses.Address:
--- a/tests/core/grantor/test_histories.py
+++ b/tests/core/grantor/test_histories.py
@@ -5,6 +5,9 @@
 from tests.core.grantor import world as worlds
 
 HISTORIES = 40
+SEEDS_BY_CAUSE = {
+    "a leader that started again forgot the detached one before it": 2066,
+}
 KEYS = range(0, 65536, 8192)
 
 
@@ -24,6 +27,34 @@
             assert len(world.holders(key)) == 1, key
 
 
+class TestRegressions:
+    """Histories that have once gone wrong, by their cause."""
+
+    @pytest.mark.parametrize("cause", SEEDS_BY_CAUSE)
+    def test_history(self, cause: str) -> None:
+        """No key has two holders."""
+        world = worlds.World(SEEDS_BY_CAUSE[cause])
+        world.run(6.0)
+        world.cause_trouble(40.0)
+        world.run(75.0)
+        assert world.held_twice == []
+
+    def test_leader_that_starts_again(self) -> None:
+        """It reckons with the detached leader before its own former life."""
+        world = worlds.World(5)
+        world.run(8.0)
+        detached = world.leaders()[0]
+        detached.cut_until = 30.0
+        world.run(12.0)
+        (second,) = [one for one in world.leaders() if one is not detached]
+        place = world.candidates.index(second)
+        second.is_up = False
+        again = world.candidates[place] = world.candidate(place)
+        world.run(13.5)
+        assert again in world.leaders()
+        assert again.core.lease.predecessor_until > 16.0
+
+
 class TestRecovery:
     """How soon keys are held again."""
 
--- a/tests/core/grantor/world.py
+++ b/tests/core/grantor/world.py
@@ -115,12 +115,13 @@
             Upstream(name=ids.UpstreamId(f"u{n}")) for n in range(4)
         ]
         self.incarnations = itertools.count(1)
-        self.candidates = [self._candidate(n) for n in range(candidates)]
+        self.candidates = [self.candidate(n) for n in range(candidates)]
         self.trouble_ends = 0.0
         self.held_twice: list[str] = []
         self.unserved = 0.0
 
-    def _candidate(self, number: int) -> Candidate:
+    def candidate(self, number: int) -> Candidate:
+        """Return a candidate that starts now."""
         own = objects.Lease(
             holder=ids.InstanceId(f"i{number}"),
             incarnation=ids.Incarnation(next(self.incarnations)),
@@ -347,7 +348,7 @@
         candidate = self._any()
         candidate.is_up = False
         place = self.candidates.index(candidate)
-        self.candidates[place] = self._candidate(place)
+        self.candidates[place] = self.candidate(place)
 
     def _crash(self) -> None:
         target = self.random.choice(self.upstreams)
