Read only the lease at the start, and the rest from the leading instance

Ruled out: no call at all before the leader is known (its address is in the lease). test_start failed first.

--- a/dragonflyshelf/runtime/gateway/control.py
+++ b/dragonflyshelf/runtime/gateway/control.py
@@ -100,7 +100,7 @@
         self._grantor = grantors.GrantorCoordinator(config, own)
         self._relaying = relaying.Relaying(config, own, self._replica)
         self._chooser = sources.SourceChooser()
-        self._watches = False
+        self._watched: abc.Set[Kind] = sources.NO_KIND
         self._instances: tuple[ids.InstanceId, ...] = ()
         self._next_ask = ids.Instant(0.0)
         self._next_measures = ids.Instant(0.0)
@@ -132,11 +132,10 @@
         return self._grantor.is_leading
 
     def begin(self) -> None:
-        """List everything and start the clock."""
+        """Look for a leading instance and start the clock."""
         self._relaying.router = self._inboxes.router
         self._relaying.client = self._inboxes.relay
         self._chooser.start(self.now)
-        self._watch_from_store()
         self.inbox.post(Tick())
 
     @task.handles(Tick)
@@ -210,7 +209,8 @@
             )
         )
         if change.name == LEASE:
-            self._relaying.follow(value)
+            if self._relaying.follow(value):
+                self._next_ask = self.now
 
     @PUBLISHERS.register(Kind.CONFIGURATION)
     def _publish_configuration(self) -> None:
@@ -321,32 +321,25 @@
         if effect.leads:
             self._relaying.followers.expect(self._instances, self.now)
             self._relaying.lender.start()
-        if effect.leads or self._watches:
-            self._watch_from_store()
+        self._choose_source()
 
     def _choose_source(self) -> None:
-        """Watch the store while leading or while the relay is silent."""
-        wanted = self._chooser.wants_store(self.is_leading, self.age, self.now)
-        if wanted and not self._watches:
-            _LOGGER.info("objects are read from the store")
-            self._watch_from_store()
-        elif self._watches and not wanted:
-            _LOGGER.info("objects are read from the leading instance")
-            self._watches = False
+        """Watch in the store what no other instance tells."""
+        wanted = self._chooser.wanted(self.is_leading, self.age, self.now)
+        if wanted == self._watched:
+            return
+        self._watched = wanted
+        names = ", ".join(sorted(one.value for one in wanted))
+        _LOGGER.info("watched in the store: %s", names or "nothing")
+        if not wanted:
             self._inboxes.watch.post(watching.StopWatching())
-
-    def _watch_from_store(self) -> None:
-        """Watch every kind; a leader itself writes the control objects."""
-        self._watches = True
-        kinds = [
-            kind
-            for kind in Kind
-            if kind is not Kind.CONTROL or not self.is_leading
-        ]
+            return
         self._inboxes.watch.post(
             watching.WatchKinds(
                 revisions_by_kind={
-                    kind: self._replica.copy(kind).revision for kind in kinds
+                    kind: self._replica.copy(kind).revision
+                    for kind in Kind
+                    if kind in wanted
                 }
             )
         )
--- a/dragonflyshelf/runtime/gateway/relaying.py
+++ b/dragonflyshelf/runtime/gateway/relaying.py
@@ -56,10 +56,15 @@
         self.router: inbox.Inbox | None = None
         self.client: inbox.Inbox | None = None
 
-    def follow(self, lease: grantor_objects.Lease) -> None:
-        """Ask the holder of the lease, or the relay that it names."""
+    def follow(self, lease: grantor_objects.Lease) -> bool:
+        """Ask the holder of the lease, or the relay that it names.
+
+        Return whether that is another than before.
+        """
+        before = self._following.address
         self._following.see_lease(lease)
         self._post_address()
+        return self._following.address != before
 
     def _post_address(self) -> None:
         address = self._following.address
--- a/tests/core/relay/test_relay.py
+++ b/tests/core/relay/test_relay.py
@@ -320,6 +320,29 @@
         chooser.updated(at(5.0))
         assert chooser.wants_store(False, 2.8, at(5.1))
 
+    def test_start(self) -> None:
+        """Only the lease is read until a leader is heard, or nobody is."""
+        chooser = sources.SourceChooser()
+        chooser.start(at(5.0))
+        never = float("inf")
+        assert chooser.wanted(False, never, at(5.1)) == sources.LEASE_KIND
+        silent = at(5.1 + sources.FIRST_SILENCE)
+        assert chooser.wanted(False, never, silent) == sources.EVERY_KIND
+
+    def test_start_beside_a_leader(self) -> None:
+        """Who is told everything by the leader reads nothing itself."""
+        chooser = sources.SourceChooser()
+        chooser.start(at(5.0))
+        chooser.updated(at(5.2))
+        assert chooser.wanted(False, 0.3, at(5.3)) == sources.NO_KIND
+
+    def test_leader_leaves_out_what_it_writes(self) -> None:
+        """The leading instance does not watch its own objects."""
+        chooser = sources.SourceChooser()
+        chooser.start(at(0.0))
+        wanted = chooser.wanted(True, 0.1, at(50.0))
+        assert wanted == sources.WRITTEN_BY_OTHERS
+
     def test_leader(self) -> None:
         """The leader always watches."""
         chooser = sources.SourceChooser()
