--- a/dragonflyshelf/core/scheduling/coordinator.py
+++ b/dragonflyshelf/core/scheduling/coordinator.py
@@ -439,7 +439,7 @@
     ) -> Effects:
         self.limiter.set_instances(len(event.instances))
         self.budget.set_instances(len(event.instances))
-        self.fleet.ramp.set_instances(event.instances)
+        self.fleet.set_instances(event.instances)
         return []
 
     def _place_again(self, now: ids.Instant) -> Effects:
--- a/dragonflyshelf/core/upstreams/state.py
+++ b/dragonflyshelf/core/upstreams/state.py
@@ -95,8 +95,15 @@
         ``mean`` is the service time of an upstream not yet known.
         """
         lasting = self.service_time or mean
-        if self.pace is not None:
-            lasting = self.pace.service_time(mean)
+        return self._until_answer(lasting, now)
+
+    def told_time(self, now: ids.Instant, mean: float) -> float:
+        """Return the same by what all instances have measured."""
+        if self.pace is None:
+            return self.expected_time(now, mean)
+        return self._until_answer(self.pace.service_time(mean), now)
+
+    def _until_answer(self, lasting: float, now: ids.Instant) -> float:
         lasting *= self._slowness(now)
         ahead = (self.load(now) + 1) / max(self.registration.slots, 1)
         return lasting * max(ahead, 1.0) * (1.0 + 4.0 * self.failure_share)
