Soak real processes with faults from outside; choose by own measurements again

Soak: instances as processes, stand-ins behind loopback proxies that delay, cut one way, silence and reset; signals, restarts, store faults and configurations overlap; eleven promises are checked from what callers and upstreams saw. The first run found that the first ranges cut buckets of keys in two (the stand-in counts holds by bucket): ranges now begin with whole buckets.

An upstream that is overloaded still looks fast by answers freed of their queue, and a third of the upstreams is too few to spread over. What an instance measures itself differs from the others' and so spreads them. The shared paces stay where only the leader uses them, for the divided services.

--- /dev/null
+++ b/bench/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomised soak of real processes with faults from outside."""
--- /dev/null
+++ b/bench/soak/checks.py
@@ -0,0 +1,161 @@
+"""Registry of the promises that an episode checks.
+
+A check is a function from the record to the violations, in words.
+"""
+
+from collections import abc
+import itertools
+from typing import Final
+
+from bench import processes
+from bench.soak import record
+from dragonflyshelf.core import registry
+
+Check = abc.Callable[[record.Record], abc.Iterator[str]]
+
+CHECKS: Final[registry.Registry[str, Check]] = registry.Registry(
+    "checks of the soak"
+)
+
+END_SECONDS: Final = 10.0
+"""Seconds in which an instance ends after SIGTERM."""
+
+NOT_RUN: Final = frozenset({"408", "421", "429", "503"})
+"""Statuses that say that a request has not run and will not run."""
+
+QUOTA_OVERAGE: Final = 1.1
+"""Factor of rate and burst that a window may have; the promise's bound."""
+
+QUOTA_SLACK: Final = 20
+"""Requests that a window may have beyond it."""
+
+QUOTA_WINDOW: Final = 5.0
+"""Seconds of a window in which requests of a workspace are counted."""
+
+RECOVERY_SECONDS: Final = 15.0
+"""Seconds after the last fault in which everything is served again."""
+
+REVOKE_SECONDS: Final = 5.0
+"""Seconds after which a withdrawn key works nowhere."""
+
+SETTLED_SECONDS: Final = 3.0
+"""Seconds after a disturbance in which an instance is still excused."""
+
+
+@CHECKS.register("at most once")
+def check_orders(found: record.Record) -> abc.Iterator[str]:
+    """Check that orders run at most once, and once if answered."""
+    runs = found.runs_by_request()
+    for one in found.seen:
+        if one.kind is not record.Kind.ORDER:
+            continue
+        count = len(runs.get(one.request_id, ()))
+        if count > 1 or (one.status == "200" and count != 1):
+            yield f"{one.request_id} ran {count} times, status {one.status}"
+
+
+@CHECKS.register("not run is true")
+def check_refusals(found: record.Record) -> abc.Iterator[str]:
+    """Check that what was refused has not run."""
+    runs = found.runs_by_request()
+    for one in found.seen:
+        if one.status in NOT_RUN and runs.get(one.request_id):
+            yield f"{one.request_id} ran and was answered {one.status}"
+
+
+@CHECKS.register("own whole answers")
+def check_answers(found: record.Record) -> abc.Iterator[str]:
+    """Check that a success is the upstream's answer to that request."""
+    for one in found.seen:
+        if one.status == "200" and not one.is_whole:
+            yield f"{one.request_id} has another answer, or part of one"
+
+
+@CHECKS.register("workspaces and keys")
+def check_workspaces(found: record.Record) -> abc.Iterator[str]:
+    """Check whose requests upstreams ran, and that they saw no key."""
+    sent = {one.request_id: one for one in found.seen}
+    for request_id, runs in found.runs_by_request().items():
+        known = sent.get(request_id)
+        for run in runs:
+            if run.had_key:
+                yield f"an upstream saw the key of {request_id}"
+            if known is not None and run.tenant != known.workspace:
+                yield f"{request_id} ran for {run.tenant}"
+
+
+@CHECKS.register("withdrawn keys")
+def check_withdrawn(found: record.Record) -> abc.Iterator[str]:
+    """Check that a withdrawn key stops working."""
+    runs = found.runs_by_request()
+    for one in found.seen:
+        withdrawn = found.withdrawn_at.get(one.workspace)
+        if withdrawn is None or one.sent_at < withdrawn + REVOKE_SECONDS:
+            continue
+        if runs.get(one.request_id):
+            late = one.sent_at - withdrawn
+            yield f"{one.request_id} ran {late:.1f} s after its key"
+
+
+@CHECKS.register("one holder")
+def check_holders(found: record.Record) -> abc.Iterator[str]:
+    """Check that no key was held by two upstreams."""
+    yield from found.held_twice
+
+
+@CHECKS.register("rates")
+def check_rates(found: record.Record) -> abc.Iterator[str]:
+    """Check that workspaces get no more than rate and burst."""
+    workspace_by_id = {one.request_id: one.workspace for one in found.seen}
+    bound = found.rate * (QUOTA_WINDOW + 1) * QUOTA_OVERAGE + QUOTA_SLACK
+    starts = sorted(
+        (workspace_by_id.get(request_id, ""), runs[0].started_at)
+        for request_id, runs in found.runs_by_request().items()
+    )
+    for name, group in itertools.groupby(starts, key=lambda one: one[0]):
+        times = [at for _, at in group]
+        first = 0
+        for last, at in enumerate(times):
+            while times[first] < at - QUOTA_WINDOW:
+                first += 1
+            if last - first + 1 > bound:
+                yield f"{name}: {last - first + 1} in a window, not {bound}"
+                break
+
+
+@CHECKS.register("no request is lost")
+def check_lost(found: record.Record) -> abc.Iterator[str]:
+    """Check that what was passed on is answered, also at a shutdown."""
+    runs = found.runs_by_request()
+    for one in found.seen:
+        if one.status.isdigit() or not runs.get(one.request_id):
+            continue
+        if not found.was_disturbed(one, SETTLED_SECONDS):
+            yield f"{one.request_id} at {one.instance} ran: {one.status}"
+
+
+@CHECKS.register("nothing is held")
+def check_held(found: record.Record) -> abc.Iterator[str]:
+    """Check that every request ends by its deadline."""
+    deadline = processes.DEADLINE_MS / 1000 + 0.5
+    for one in found.seen:
+        lasted = one.ended_at - one.sent_at
+        if lasted < deadline or found.was_disturbed(one, SETTLED_SECONDS):
+            continue
+        yield f"{one.request_id} at {one.instance} lasted {lasted:.1f} s"
+
+
+@CHECKS.register("ends in time")
+def check_ends(found: record.Record) -> abc.Iterator[str]:
+    """Check that instances end soon after SIGTERM."""
+    for name, ends in found.ends.items():
+        for seconds in ends:
+            if seconds >= END_SECONDS:
+                yield f"{name} had not ended {seconds:.1f} s after SIGTERM"
+
+
+@CHECKS.register("recovery")
+def check_recovery(found: record.Record) -> abc.Iterator[str]:
+    """Check that everything is served after the last fault."""
+    if found.recovered_after is None:
+        yield f"not everything is served {RECOVERY_SECONDS} s after the end"
--- /dev/null
+++ b/bench/soak/faults.py
@@ -0,0 +1,219 @@
+"""Registry of the faults that an episode injects from outside.
+
+A fault is an async function that does its harm, waits and undoes it.
+"""
+
+import asyncio
+from collections import abc
+import dataclasses
+import random
+import signal
+import time
+from typing import Final
+
+from bench import processes
+from bench.soak import checks
+from bench.soak import proxy
+from bench.soak import record
+from bench.soak import traffic
+from dragonflyshelf.core import registry
+from stand_ins import configuration
+from stand_ins import store
+from stand_ins import upstream
+
+LEAST_RATE: Final = 60.0
+"""Least rate of a workspace, in requests a second."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Upstream:
+    """A stand-in of an upstream behind its proxy."""
+
+    server: upstream.UpstreamServer
+    proxy: proxy.LoopbackProxy
+    data_centre: str
+
+    def entry(self) -> dict[str, object]:
+        """Return its entry in the registry, at the proxy's address."""
+        found = self.server.entry(processes.HOST, self.data_centre)
+        found["Address"] = f"{processes.HOST}:{self.proxy.port}"
+        return found
+
+
+@dataclasses.dataclass(kw_only=True)
+class World:
+    """All that a fault may touch."""
+
+    chance: random.Random
+    found: record.Record
+    instances: list[processes.Instance]
+    store: store.StoreServer
+    store_proxies: list[proxy.LoopbackProxy]
+    upstreams: list[Upstream]
+    busy: set[str] = dataclasses.field(default_factory=set)
+    keys: list[str] = dataclasses.field(
+        default_factory=lambda: list(traffic.KEYS_BY_WORKSPACE.values())
+    )
+    version: int = 1
+
+    def configure(self, rate: float) -> None:
+        """Write a newer configuration."""
+        self.version += 1
+        spec = configuration.letters(self.version, self.keys, rate)
+        self.store.objects.replace("config", "main", spec, None)
+        self.store.notify()
+
+    def withdraw(self, workspace: str) -> None:
+        """Withdraw the key of a workspace for good."""
+        self.keys.remove(traffic.KEYS_BY_WORKSPACE[workspace])
+        self.configure(LEAST_RATE)
+        self.found.withdrawn_at[workspace] = time.monotonic()
+
+    def free_instance(self) -> processes.Instance | None:
+        """Return an instance that no other fault holds, and hold it.
+
+        One instance at least is left alone.
+        """
+        free = [one for one in self.instances if one.name not in self.busy]
+        if len(free) < 2:
+            return None
+        found = self.chance.choice(free)
+        self.busy.add(found.name)
+        return found
+
+    def give_back(self, one: processes.Instance, begin: float) -> None:
+        """Note a span of disturbance, and let others have the instance."""
+        self.found.disturbed.append(
+            record.Disturbed(
+                instance=one.name, begin=begin, end=time.monotonic()
+            )
+        )
+        self.busy.discard(one.name)
+
+
+Fault = abc.Callable[[World], abc.Awaitable[None]]
+
+FAULTS: Final[registry.Registry[str, Fault]] = registry.Registry(
+    "faults of the soak"
+)
+
+
+@FAULTS.register("kill")
+async def async_kill(world: World) -> None:
+    """Kill an instance and start it again."""
+    one = world.free_instance()
+    if one is None:
+        return
+    begin = time.monotonic()
+    one.send(signal.SIGKILL)
+    await one.async_end(checks.END_SECONDS)
+    await asyncio.sleep(world.chance.uniform(0.1, 1.5))
+    one.start()
+    await one.async_wait_ready()
+    world.give_back(one, begin)
+
+
+@FAULTS.register("stop")
+async def async_stop(world: World) -> None:
+    """End an instance in order and start it again."""
+    one = world.free_instance()
+    if one is None:
+        return
+    begin = time.monotonic()
+    one.send(signal.SIGTERM)
+    await one.async_end(checks.END_SECONDS)
+    world.found.ends[one.name].append(time.monotonic() - begin)
+    one.send(signal.SIGKILL)
+    await one.async_end(checks.END_SECONDS)
+    one.start()
+    await one.async_wait_ready()
+    world.busy.discard(one.name)
+
+
+@FAULTS.register("pause")
+async def async_pause(world: World) -> None:
+    """Pause an instance, which then goes on as if nothing were."""
+    one = world.free_instance()
+    if one is None:
+        return
+    begin = time.monotonic()
+    one.send(signal.SIGSTOP)
+    await asyncio.sleep(world.chance.uniform(0.2, 4.0))
+    one.send(signal.SIGCONT)
+    world.give_back(one, begin)
+
+
+@FAULTS.register("reload")
+async def async_reload(world: World) -> None:
+    """Send SIGHUP to an instance."""
+    world.chance.choice(world.instances).send(signal.SIGHUP)
+
+
+@FAULTS.register("store")
+async def async_store_fault(world: World) -> None:
+    """Let the store misbehave towards all instances."""
+    behaviour = world.store.behaviour
+    behaviour.fault = world.chance.choice(list(store.Fault))
+    behaviour.delay = world.chance.choice((0.0, 0.05, 0.3))
+    await asyncio.sleep(world.chance.uniform(0.5, 6.0))
+    behaviour.fault = store.Fault.NONE
+    behaviour.delay = 0.0
+
+
+@FAULTS.register("store history")
+async def async_compact(world: World) -> None:
+    """Let the store forget its history."""
+    world.store.objects.compact()
+    world.store.notify()
+
+
+@FAULTS.register("store link")
+async def async_store_link(world: World) -> None:
+    """Disturb the way from one instance to the store."""
+    link = world.chance.choice(world.store_proxies)
+    link.set_mode(world.chance.choice(list(proxy.Mode)), delay=0.3)
+    await asyncio.sleep(world.chance.uniform(0.3, 5.0))
+    link.set_mode(proxy.Mode.PASS)
+
+
+@FAULTS.register("upstream link")
+async def async_upstream_link(world: World) -> None:
+    """Disturb the way to one upstream."""
+    one = world.chance.choice(world.upstreams)
+    one.proxy.set_mode(world.chance.choice(list(proxy.Mode)), delay=0.05)
+    await asyncio.sleep(world.chance.uniform(0.2, 2.5))
+    one.proxy.set_mode(proxy.Mode.PASS)
+
+
+@FAULTS.register("upstream")
+async def async_upstream_fault(world: World) -> None:
+    """Let one upstream refuse, fail or answer too late."""
+    one = world.chance.choice(world.upstreams).server
+    one.fault = world.chance.choice(list(upstream.Fault))
+    await asyncio.sleep(world.chance.uniform(0.2, 3.0))
+    one.fault = upstream.Fault.NONE
+
+
+@FAULTS.register("upstream crash")
+async def async_crash(world: World) -> None:
+    """End an upstream; its next life has the same id."""
+    one = world.chance.choice(world.upstreams)
+    if one.server.name in world.busy:
+        return
+    world.busy.add(one.server.name)
+    one.proxy.set_mode(proxy.Mode.RESET)
+    one.server.crash()
+    await asyncio.sleep(world.chance.uniform(1.0, 4.0))
+    one.server.crash()
+    one.proxy.set_mode(proxy.Mode.PASS)
+    world.store.objects.replace("servers", one.server.name, one.entry(), None)
+    world.store.notify()
+    world.busy.discard(one.server.name)
+
+
+@FAULTS.register("configuration")
+async def async_configure(world: World) -> None:
+    """Change rates, a few times in quick succession."""
+    for _ in range(world.chance.randrange(1, 4)):
+        world.configure(world.chance.uniform(1.0, 2.0) * LEAST_RATE)
+        await asyncio.sleep(world.chance.uniform(0.0, 0.3))
--- /dev/null
+++ b/bench/soak/proxy.py
@@ -0,0 +1,139 @@
+"""Loopback proxy that delays, silences, cuts or resets connections."""
+
+import asyncio
+from collections import abc
+import contextlib
+import enum
+
+from bench import processes
+from dragonflyshelf.runtime import sockets
+
+READ_BYTES = 65536
+
+
+class Mode(enum.Enum):
+    """What is done with bytes; what is dropped never arrives later."""
+
+    DELAY = "delay"
+    ONE_WAY = "one_way"
+    PASS = "pass"
+    RESET = "reset"
+    SILENT = "silent"
+
+
+class LoopbackProxy:
+    """Passes connections on to one port."""
+
+    def __init__(self, target: int) -> None:
+        """Create a proxy that does not listen yet."""
+        self.target = target
+        self.delay = 0.0
+        """Seconds by which bytes are late in the mode ``DELAY``."""
+        self._mode = Mode.PASS
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def port(self) -> int:
+        """Return the bound port."""
+        assert self._server is not None
+        port: int = self._server.sockets[0].getsockname()[1]
+        return port
+
+    def set_mode(self, mode: Mode, delay: float = 0.0) -> None:
+        """Change what is done; bytes that were dropped end connections.
+
+        A connection that has lost bytes may not go on with later ones.
+        """
+        if self._mode in (Mode.SILENT, Mode.ONE_WAY) or mode is Mode.RESET:
+            self.reset()
+        self._mode = mode
+        self.delay = delay
+
+    def reset(self) -> None:
+        """Reset every connection."""
+        for one in tuple(self._writers):
+            sockets.reset(one.transport)
+        self._writers.clear()
+
+    async def _async_accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        self._writers.add(writer)
+        try:
+            await self._async_serve(reader, writer)
+        except (OSError, asyncio.CancelledError):
+            sockets.reset(writer.transport)
+        finally:
+            self._tasks.discard(task)
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _async_serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if self._mode is Mode.RESET:
+            sockets.reset(writer.transport)
+            return
+        far_reader, far_writer = await asyncio.open_connection(
+            processes.HOST, self.target
+        )
+        self._writers.add(far_writer)
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._async_pump(reader, far_writer, True))
+                group.create_task(self._async_pump(far_reader, writer, False))
+        except* OSError:
+            sockets.reset(writer.transport)
+            sockets.reset(far_writer.transport)
+        finally:
+            self._writers.discard(far_writer)
+            far_writer.close()
+
+    async def _async_pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        is_forward: bool,
+    ) -> None:
+        while data := await reader.read(READ_BYTES):
+            if self._mode is Mode.SILENT:
+                continue
+            if self._mode is Mode.ONE_WAY and not is_forward:
+                continue
+            if self._mode is Mode.DELAY:
+                await asyncio.sleep(self.delay)
+            writer.write(data)
+            await writer.drain()
+        if writer.can_write_eof():
+            writer.write_eof()
+
+    async def async_listen(self) -> None:
+        """Bind a port on loopback."""
+        self._server = await asyncio.start_server(
+            self._async_accept, processes.HOST, 0
+        )
+
+    async def async_close(self) -> None:
+        """Stop accepting and end every connection."""
+        if self._server is not None:
+            self._server.close()
+        self.reset()
+        for one in tuple(self._tasks):
+            one.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+
+@contextlib.asynccontextmanager
+async def async_proxy(target: int) -> abc.AsyncIterator[LoopbackProxy]:
+    """Run a proxy for the length of a ``with`` block."""
+    made = LoopbackProxy(target)
+    await made.async_listen()
+    try:
+        yield made
+    finally:
+        await made.async_close()
--- /dev/null
+++ b/bench/soak/traffic.py
@@ -0,0 +1,115 @@
+"""Callers that keep their connections and note what they see."""
+
+import asyncio
+import itertools
+import random
+import time
+from typing import Final
+import zlib
+
+import h11
+
+from bench import processes
+from bench.soak import record
+from dragonflyshelf.runtime import http_client
+
+KEYS_BY_WORKSPACE: Final = {"one": "key-of-one", "two": "key-of-two"}
+
+MOST_ON_CONNECTION: Final = 40
+"""Requests after which a caller opens another connection."""
+
+PAUSE_SECONDS: Final = (0.01, 0.08)
+"""Shortest and longest pause of a caller between two requests."""
+
+
+class Caller:
+    """One caller with one connection at a time."""
+
+    def __init__(
+        self,
+        name: str,
+        instances: list[processes.Instance],
+        found: record.Record,
+        chance: random.Random,
+    ) -> None:
+        """Create a caller of some instances."""
+        self._name = name
+        self._instances = instances
+        self._found = found
+        self._chance = chance
+        self._numbers = itertools.count()
+
+    async def async_call_forever(self) -> None:
+        """Send requests one after the other until cancelled."""
+        while True:
+            instance = self._chance.choice(self._instances)
+            if not instance.is_running:
+                await asyncio.sleep(0.05)
+                continue
+            async with http_client.async_open(
+                processes.HOST, instance.ports.callers
+            ) as client:
+                await self._async_use(instance, client)
+
+    async def _async_use(
+        self, instance: processes.Instance, client: http_client.HttpClient
+    ) -> None:
+        for _ in range(MOST_ON_CONNECTION):
+            seen = await self._async_request(instance, client)
+            self._found.seen.append(seen)
+            if not seen.status.isdigit():
+                return
+            await asyncio.sleep(self._chance.uniform(*PAUSE_SECONDS))
+
+    async def _async_request(
+        self, instance: processes.Instance, client: http_client.HttpClient
+    ) -> record.Seen:
+        request_id = f"{self._name}-{next(self._numbers)}"
+        kind = self._chance.choice(list(record.Kind))
+        workspace = self._chance.choice(list(KEYS_BY_WORKSPACE))
+        sent_at = time.monotonic()
+        status, is_whole = await async_send(
+            client, request_id, kind, workspace
+        )
+        return record.Seen(
+            request_id=request_id,
+            kind=kind,
+            workspace=workspace,
+            instance=instance.name,
+            sent_at=sent_at,
+            ended_at=time.monotonic(),
+            status=status,
+            is_whole=is_whole,
+        )
+
+
+async def async_send(
+    client: http_client.HttpClient,
+    request_id: str,
+    kind: record.Kind,
+    workspace: str,
+) -> tuple[str, bool]:
+    """Send a request; return its status and if the answer is its own.
+
+    The status is the kind of the error where there is no answer.
+    """
+    headers = {
+        "host": "a.b",
+        "x-api-key": KEYS_BY_WORKSPACE[workspace],
+        "request-id": request_id,
+        "deadline-ms": str(processes.DEADLINE_MS),
+        "shard-key": str(zlib.crc32(request_id.encode()) % 65536),
+    }
+    method = "POST" if kind is record.Kind.ORDER else "GET"
+    try:
+        async with asyncio.timeout(processes.DEADLINE_MS / 1000 + 2):
+            answer = await client.async_call(
+                method,
+                f"/{kind.value}/{request_id}",
+                headers=tuple(headers.items()),
+            )
+    except (OSError, TimeoutError, h11.ProtocolError) as error:
+        return type(error).__name__, False
+    seal = dict(answer.headers).get(b"response-seal", b"").decode()
+    is_own = answer.body == request_id.encode()
+    return str(answer.status), is_own and seal == f"seal-{request_id}"
--- a/dragonflyshelf/codec/relay.capnp
+++ b/dragonflyshelf/codec/relay.capnp
@@ -75,7 +75,6 @@
   kinds @1 :List(Kind);
   instances @2 :List(Text);
   relay @3 :Address;
-  paces @4 :List(Pace);
 }
 
 struct Frame {
--- a/dragonflyshelf/core/grantor/planning.py
+++ b/dragonflyshelf/core/grantor/planning.py
@@ -18,20 +18,24 @@
     """Divide all keys among upstreams, neighbours to different ones.
 
     Busy keys are close to one another, so each upstream gets several
-    ranges that lie apart.
+    ranges that lie apart. Ranges begin with whole buckets.
     """
     ranked = sorted(candidates, key=lambda one: (one.id, one.born))
     count = min(len(ranked) * const.RANGES_PER_UPSTREAM, const.MOST_RANGES)
     count = max(count, len(ranked))
     found = []
     for number in range(count):
-        first = objects.SHARD_KEYS * number // count
-        last = objects.SHARD_KEYS * (number + 1) // count - 1
+        first = objects.bucket_of(
+            ids.ShardKey(objects.SHARD_KEYS * number // count)
+        )
+        end = objects.bucket_of(
+            ids.ShardKey(objects.SHARD_KEYS * (number + 1) // count)
+        )
         holder = ranked[number % len(ranked)]
         found.append(
             objects.Assignment(
                 first=ids.ShardKey(first),
-                last=ids.ShardKey(last),
+                last=ids.ShardKey(end - 1),
                 upstream=holder.id,
                 life=holder.life,
                 epoch=ids.Epoch(const.FIRST_EPOCH),
--- a/dragonflyshelf/core/relay/followers.py
+++ b/dragonflyshelf/core/relay/followers.py
@@ -12,7 +12,6 @@
 from dragonflyshelf.core.relay import source
 from dragonflyshelf.core import settings
 from dragonflyshelf.core.store import replica
-from dragonflyshelf.core.upstreams import paces
 
 Link = Any
 """What a link is known by; the runtime takes the link's inbox."""
@@ -37,7 +36,6 @@
     ask: messages.Ask
     asked_at: ids.Instant
     told_instances: tuple[ids.InstanceId, ...] = ()
-    told_paces: paces.Paces = ()
     loads: tuple[grantor.RangeLoad, ...] = ()
     loads_at: ids.Instant = ids.Instant(0.0)
 
@@ -55,8 +53,6 @@
         self._heard_by_instance: dict[ids.InstanceId, ids.Instant] = {}
         self._relays_by_data_centre: dict[ids.DataCentreId, Link] = {}
         self._passed_on: tuple[ids.InstanceId, ...] = ()
-        self.paces: paces.Paces = ()
-        """How fast upstreams answer, as the leading instance has told."""
 
     def __iter__(self) -> abc.Iterator[Link]:
         """Iterate over the links."""
@@ -142,8 +138,6 @@
         names = self.instances(now) if leads else self._passed_on
         news = names if names != follower.told_instances else ()
         follower.told_instances = names
-        told = follower.told_paces
-        follower.told_paces = self.paces
         update = messages.Update(
             number=follower.ask.number,
             kinds=source.relayed_kinds(
@@ -151,7 +145,6 @@
             ),
             instances=news,
             relay=self._relay(link, now) if leads else addresses.NOWHERE,
-            paces=self.paces if self.paces is not told else (),
         )
         follower.ask = _told(follower.ask, update)
         return update
--- a/dragonflyshelf/core/relay/messages.py
+++ b/dragonflyshelf/core/relay/messages.py
@@ -71,14 +71,12 @@
     ``instances`` are those that the leading instance reckons with. They
     are left out when they are those of the update before. ``relay`` is
     whom to ask from now on, ``NOWHERE`` for the sender itself.
-    ``paces`` is empty when the leading instance has told no newer ones.
     """
 
     number: int
     kinds: tuple[RelayedKind, ...]
     instances: tuple[ids.InstanceId, ...]
     relay: addresses.Address = addresses.NOWHERE
-    paces: pace.Paces = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/dragonflyshelf/core/scheduling/coordinator.py
+++ b/dragonflyshelf/core/scheduling/coordinator.py
@@ -419,13 +419,6 @@
         self.fleet.set_evacuated(event.data_centres, now)
         return self._place_again(now)
 
-    @HANDLERS.register(upstream_events.PacesChanged)
-    def _on_paces(
-        self, event: upstream_events.PacesChanged, now: ids.Instant
-    ) -> Effects:
-        self.fleet.set_paces(event.paces)
-        return []
-
     @HANDLERS.register(messages.AssignmentsChanged)
     def _on_assignments(
         self, event: messages.AssignmentsChanged, now: ids.Instant
@@ -439,7 +432,7 @@
     ) -> Effects:
         self.limiter.set_instances(len(event.instances))
         self.budget.set_instances(len(event.instances))
-        self.fleet.set_instances(event.instances)
+        self.fleet.ramp.set_instances(event.instances)
         return []
 
     def _place_again(self, now: ids.Instant) -> Effects:
--- a/dragonflyshelf/core/scheduling/fleet.py
+++ b/dragonflyshelf/core/scheduling/fleet.py
@@ -2,16 +2,12 @@
 
 from collections import abc
 
-import xxhash
-
 from dragonflyshelf.core import ids
 from dragonflyshelf.core.routing import objects as routing
 from dragonflyshelf.core.scheduling import service as services
 from dragonflyshelf.core import settings
 from dragonflyshelf.core.upstreams import choice
-from dragonflyshelf.core.upstreams import const
 from dragonflyshelf.core.upstreams import objects
-from dragonflyshelf.core.upstreams import paces
 from dragonflyshelf.core.upstreams import ramp
 from dragonflyshelf.core.upstreams import state
 
@@ -21,10 +17,7 @@
 
     def __init__(self, instance: settings.InstanceSettings) -> None:
         """Create a fleet without upstreams."""
-        self._name = instance.name
         self._data_centre = instance.data_centre
-        self._instances = 1
-        self._choices = 0
         self.ramp = ramp.ColdRamp(instance.name)
         self._states_by_service: dict[
             ids.ServiceName, services.ServiceState
@@ -138,33 +131,15 @@
         now: ids.Instant,
     ) -> state.UpstreamState:
         """Return the best of some upstreams; there is at least one."""
-        self._choices += 1
-        number = f"{self._name}/{self._choices}".encode()
         choosing = choice.Choosing(
-            draw=xxhash.xxh64_intdigest(number),
             now=now,
             data_centre=self._data_centre,
             mean_service_time=service.mean_time,
             objective=objective,
         )
-        name = choice.FEW_INSTANCES
-        if self._instances >= const.MANY_INSTANCES:
-            name = choice.MANY_INSTANCES
-        policy = choice.POLICIES.get(name)
+        policy = choice.POLICIES.get(choice.DEFAULT_POLICY)
         return policy(choice.without_ejected(candidates, now), choosing)
 
-    def set_instances(self, names: tuple[ids.InstanceId, ...]) -> None:
-        """Take over which instances there are."""
-        self._instances = len(names)
-        self.ramp.set_instances(names)
-
-    def set_paces(self, known: paces.Paces) -> None:
-        """Take over how fast the upstreams answer all instances."""
-        paces_by_life = {one.life: one for one in known}
-        for found in self._states_by_service.values():
-            for life, one in found.upstreams_by_life.items():
-                one.pace = paces_by_life.get(life)
-
     def _warmup_rate(self, one: state.UpstreamState) -> float:
         terms = self._services_by_name.get(one.registration.service)
         return terms.warmup_rate if terms is not None else 1.0
--- a/dragonflyshelf/core/scheduling/messages.py
+++ b/dragonflyshelf/core/scheduling/messages.py
@@ -117,7 +117,6 @@
     | upstream_events.EvacuationsChanged
     | ExchangeFinished
     | InstancesChanged
-    | upstream_events.PacesChanged
     | upstream_events.RegistrationsChanged
     | RequestArrived
     | TimePassed
--- a/dragonflyshelf/core/upstreams/choice.py
+++ b/dragonflyshelf/core/upstreams/choice.py
@@ -12,27 +12,19 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Choosing:
-    """What a policy may go by besides the candidates.
-
-    ``draw`` is a number of 64 bits that differs from request to request.
-    """
+    """What a policy may go by besides the candidates."""
 
     now: ids.Instant
     data_centre: ids.DataCentreId
     mean_service_time: float
     objective: float
-    draw: int = 0
 
 
 Policy = abc.Callable[
     [abc.Sequence[state.UpstreamState], Choosing], state.UpstreamState
 ]
 
-FEW_INSTANCES: Final = "least_expected_time"
-"""Policy of instances that each see much of every upstream's load."""
-
-MANY_INSTANCES: Final = "best_of_few"
-"""Policy of instances that see little of it."""
+DEFAULT_POLICY: Final = "least_expected_time"
 
 POLICIES: Final[registry.Registry[str, Policy]] = registry.Registry(
     "upstream choice policies"
@@ -62,37 +54,6 @@
     return min(candidates, key=lambda one: cost(one, choosing))
 
 
-@POLICIES.register("best_of_few")
-def choose_best_of_few(
-    candidates: abc.Sequence[state.UpstreamState], choosing: Choosing
-) -> state.UpstreamState:
-    """Return the best of a few candidates by what all have measured.
-
-    If many instances went by the same measurements to the best of all
-    candidates, they would meet there.
-    """
-    near = [
-        one
-        for one in candidates
-        if one.registration.data_centre == choosing.data_centre
-    ]
-    few = drawn(near or candidates, const.DRAWN, choosing.draw)
-    mean = choosing.mean_service_time
-    return min(few, key=lambda one: one.told_time(choosing.now, mean))
-
-
-def drawn(
-    candidates: abc.Sequence[state.UpstreamState], count: int, draw: int
-) -> list[state.UpstreamState]:
-    """Return a few different candidates that a number stands for."""
-    left = list(candidates)
-    found = []
-    while left and len(found) < count:
-        draw, place = divmod(draw, len(left))
-        found.append(left.pop(place))
-    return found
-
-
 def cost(one: state.UpstreamState, choosing: Choosing) -> float:
     """Return the expected seconds with the price of the distance."""
     mean = choosing.mean_service_time
--- a/dragonflyshelf/core/upstreams/const.py
+++ b/dragonflyshelf/core/upstreams/const.py
@@ -14,12 +14,6 @@
 DEFAULT_SERVICE_TIME: Final = 0.3
 """Seconds that a request is taken to last before one has been seen."""
 
-DRAWN: Final = 3
-"""Upstreams among which one of many instances chooses for a request."""
-
-MANY_INSTANCES: Final = 24
-"""Instances from which on each sees little of an upstream's load."""
-
 EJECT_AFTER: Final = 3
 """Failures in a row after which an upstream is left alone."""
 
--- a/dragonflyshelf/core/upstreams/messages.py
+++ b/dragonflyshelf/core/upstreams/messages.py
@@ -23,6 +23,6 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class PacesChanged:
-    """The leading instance has told how fast upstreams answer."""
+    """All instances have measured how fast upstreams answer."""
 
     paces: pace.Paces
--- a/dragonflyshelf/core/upstreams/paces.py
+++ b/dragonflyshelf/core/upstreams/paces.py
@@ -2,7 +2,10 @@
 
 With many instances each sees an answer of one upstream only now and
 then. So every instance reports the seconds and the number of answers;
-the leading instance adds them up, lets them fade and tells the sums.
+the leading instance adds them up, lets them fade and goes by the sums
+when it places shard ranges. They are no good for the choice among
+undivided upstreams: instances that go by the same figures meet at the
+same upstreams.
 """
 
 from collections import abc
--- a/dragonflyshelf/core/upstreams/state.py
+++ b/dragonflyshelf/core/upstreams/state.py
@@ -5,7 +5,6 @@
 from dragonflyshelf.core import ids
 from dragonflyshelf.core.upstreams import const
 from dragonflyshelf.core.upstreams import objects
-from dragonflyshelf.core.upstreams import paces
 
 
 class AttemptResult(enum.Enum):
@@ -29,8 +28,6 @@
         self.in_flight = 0
         self.cold_until = ids.Instant(now + registration.warmup_left)
         self.service_time = 0.0
-        self.pace: paces.UpstreamPace | None = None
-        """How fast the upstream answers all instances, once it is told."""
         self._failures_in_row = 0
         self.failure_share = 0.0
         self.ejected_until = ids.Instant(0.0)
@@ -95,15 +92,6 @@
         ``mean`` is the service time of an upstream not yet known.
         """
         lasting = self.service_time or mean
-        return self._until_answer(lasting, now)
-
-    def told_time(self, now: ids.Instant, mean: float) -> float:
-        """Return the same by what all instances have measured."""
-        if self.pace is None:
-            return self.expected_time(now, mean)
-        return self._until_answer(self.pace.service_time(mean), now)
-
-    def _until_answer(self, lasting: float, now: ids.Instant) -> float:
         lasting *= self._slowness(now)
         ahead = (self.load(now) + 1) / max(self.registration.slots, 1)
         return lasting * max(ahead, 1.0) * (1.0 + 4.0 * self.failure_share)
--- a/dragonflyshelf/runtime/gateway/control.py
+++ b/dragonflyshelf/runtime/gateway/control.py
@@ -49,9 +49,6 @@
 MEASURE_INTERVAL: Final = 0.8
 """Seconds between an instance's reports of what it has measured."""
 
-PACES_INTERVAL: Final = 2.0
-"""Seconds between the leader's reports of how fast upstreams answer."""
-
 TICK: Final = 0.1
 """Seconds between looks at leases, grants and freshness."""
 
@@ -104,7 +101,7 @@
         self._instances: tuple[ids.InstanceId, ...] = ()
         self._next_ask = ids.Instant(0.0)
         self._next_measures = ids.Instant(0.0)
-        self._next_paces = ids.Instant(0.0)
+        self._measured = paces.PaceMap()
         self._lost_kinds: set[Kind] = set()
         self.peers: Peers | None = None
         self.is_draining = False
@@ -376,13 +373,6 @@
         if message.update.instances:
             self._instances = message.update.instances
             self._tell_instances(message.update.instances)
-        if message.update.paces:
-            self._tell_paces(message.update.paces)
-
-    def _tell_paces(self, known: paces.Paces) -> None:
-        event = upstream_events.PacesChanged(paces=known)
-        self._inboxes.router.post(event)
-        self._run(event)
 
     @task.handles(relay_messages.LinkLost)
     def _on_link_lost(self, message: relay_messages.LinkLost) -> None:
@@ -416,7 +406,7 @@
         self._relaying.asked(message, self.is_leading, self.now)
         if self.is_leading:
             self._note_loads(message.ask.instance, message.ask.loads)
-            self._relaying.measured(message.ask.paces, self.now)
+            self._measured.add(message.ask.paces, self.now)
 
     def _note_loads(
         self, instance: ids.InstanceId, loads: tuple[grantor.RangeLoad, ...]
@@ -439,10 +429,9 @@
         missing = followers.missing(self.now)
         self._relaying.lender.reserve(missing, len(names), self.now)
         self._note_loads(self._own.holder, load.loads)
-        self._relaying.measured(load.paces, self.now)
-        if self.now >= self._next_paces:
-            self._next_paces = ids.Instant(self.now + PACES_INTERVAL)
-            self._tell_paces(self._relaying.known_paces(self.now))
+        self._measured.add(load.paces, self.now)
+        known = self._measured.known(self.now)
+        self._run(upstream_events.PacesChanged(paces=known))
         self._tell_instances(names)
 
 
--- a/dragonflyshelf/runtime/gateway/relaying.py
+++ b/dragonflyshelf/runtime/gateway/relaying.py
@@ -50,7 +50,6 @@
         self._number = 0
         self._asked_at_by_number: dict[int, ids.Instant] = {}
         self._tally = paces.PaceTally()
-        self._measured = paces.PaceMap()
         self.lender = lender.TokenLender()
         self.followers = followers.Followers(config.instance, copies)
         self.router: inbox.Inbox | None = None
@@ -135,8 +134,6 @@
         self._post_address()
         if update.instances:
             self.followers.pass_on(update.instances)
-        if update.paces:
-            self.followers.paces = update.paces
         for relayed in update.kinds:
             yield source.to_event(relayed, asked_at)
 
@@ -149,15 +146,6 @@
         self.followers.asked(message.reply_to, message.ask, now)
         self._tell(message.reply_to, leads, now)
 
-    def measured(self, more: paces.Paces, now: ids.Instant) -> None:
-        """Take in, as the leading instance, what an instance measured."""
-        self._measured.add(more, now)
-
-    def known_paces(self, now: ids.Instant) -> paces.Paces:
-        """Return all that was measured, which goes to the followers."""
-        self.followers.paces = self._measured.known(now)
-        return self.followers.paces
-
     def tell_followers(self, leads: bool, now: ids.Instant) -> None:
         """Tell every follower what is new to it."""
         for box in self.followers:
--- a/dragonflyshelf/runtime/gateway/router.py
+++ b/dragonflyshelf/runtime/gateway/router.py
@@ -165,10 +165,6 @@
         self._update_pools(message.registrations)
         self._run(message)
 
-    @task.handles(upstream_events.PacesChanged)
-    def _on_paces(self, message: upstream_events.PacesChanged) -> None:
-        self._run(message)
-
     @task.handles(upstream_events.EvacuationsChanged)
     def _on_evacuations(
         self, message: upstream_events.EvacuationsChanged
--- a/stand_ins/configuration.py
+++ b/stand_ins/configuration.py
@@ -1,10 +1,13 @@
 """Configuration of a small deployment, as an operator writes it."""
 
 
-def letters(version: int, keys: list[str]) -> dict[str, object]:
+def letters(
+    version: int, keys: list[str], rate: float = 1000
+) -> dict[str, object]:
     """Return a configuration with a plain and a sharded service.
 
-    It is spelled as the operator writes it to the store.
+    It is spelled as the operator writes it to the store; ``rate`` is in
+    requests a second, and the burst is one second of it.
     """
     return {
         "Version": f"r{version}",
@@ -35,6 +38,9 @@
         },
         "Tenants": {
             "Columns": ["Name", "ApiKeys", "RatePerS", "Burst"],
-            "Rows": [["one", keys, 1000, 1000]],
+            "Rows": [
+                [key.removeprefix("key-of-"), [key], rate, rate]
+                for key in keys
+            ],
         },
     }
--- a/stand_ins/upstream.py
+++ b/stand_ins/upstream.py
@@ -10,7 +10,11 @@
 
 from dragonflyshelf.runtime import http_server
 
+BUCKET_KEYS = 64
+"""Neighbouring keys that are always granted together."""
+
 QUEUE_ENTRIES = 24
+"""Requests that wait for a slot at most."""
 
 
 class Fault(enum.Enum):
@@ -24,11 +28,9 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class Held:
-    """A range that is granted until an instant."""
+class Hold:
+    """Grant of a few keys until an instant of the monotonic clock."""
 
-    first: int
-    last: int
     fence: int
     until: float
 
@@ -40,6 +42,7 @@
     request_id: str
     tenant: str
     had_key: bool
+    started_at: float = 0.0
 
 
 class UpstreamServer:
@@ -62,7 +65,8 @@
         self.fault = Fault.NONE
         self.born = int(time.time() * 1000)
         self.runs: list[Run] = []
-        self._held: list[Held] = []
+        self.holds_by_bucket: dict[int, Hold] = {}
+        self.on_grant: abc.Callable[[range, float], None] = _ignore
         self._free = asyncio.Semaphore(slots)
         self._running = 0
         self._waiting = 0
@@ -81,6 +85,11 @@
         """Stop accepting."""
         self._server.close()
 
+    def crash(self) -> None:
+        """Lose what is held; the next life is told apart by its start."""
+        self.holds_by_bucket.clear()
+        self.born = max(int(time.time() * 1000), self.born + 1)
+
     def entry(self, host: str, data_centre: str) -> dict[str, object]:
         """Return the upstream's entry in the registry."""
         return {
@@ -132,6 +141,7 @@
                 request_id=request_id,
                 tenant=request.headers.get("tenant", ""),
                 had_key="x-api-key" in request.headers,
+                started_at=time.monotonic(),
             )
         )
         await asyncio.sleep(self.seconds)
@@ -141,7 +151,7 @@
         if self.fault is not Fault.NO_SEAL:
             headers.append(("response-seal", f"seal-{request_id}"))
         status = 500 if self.fault is Fault.SERVER_ERROR else 200
-        return self._answer(status, *headers, body=b"ok")
+        return self._answer(status, *headers, body=request_id.encode())
 
     def _answer(
         self, status: int, *headers: tuple[str, str], body: bytes = b""
@@ -159,37 +169,41 @@
 
     def _holds(self, request: http_server.ServerRequest) -> bool:
         key = int(request.headers.get("shard-key", "-1"))
-        now = time.monotonic()
-        return any(
-            one.first <= key <= one.last and one.until > now
-            for one in self._held
-        )
+        hold = self.holds_by_bucket.get(key // BUCKET_KEYS)
+        return hold is not None and hold.until > time.monotonic()
 
     def _grant(self, body: dict[str, float]) -> http_server.ServerAnswer:
-        first, last = int(body["From"]), int(body["Target"])
+        buckets = _buckets(body)
         fence = int(body["fence"])
-        kept = [
-            one for one in self._held if one.last < first or one.first > last
-        ]
-        touched = [one for one in self._held if one not in kept]
-        if any(one.fence > fence for one in touched):
+        if self._newest_fence(buckets) > fence:
             return self._answer(409)
         until = time.monotonic() + body["HoldS"]
-        self._held = [
-            *kept,
-            Held(first=first, last=last, fence=fence, until=until),
-        ]
+        for one in buckets:
+            self.holds_by_bucket[one] = Hold(fence=fence, until=until)
+        self.on_grant(buckets, until)
         return self._answer(200)
 
     def _release(self, body: dict[str, float]) -> http_server.ServerAnswer:
-        first, last = int(body["From"]), int(body["Target"])
-        fence = int(body["fence"])
-        self._held = [
-            one for one in self._held if one.last < first or one.first > last
-        ]
-        self._held.append(Held(first=first, last=last, fence=fence, until=0.0))
+        buckets = _buckets(body)
+        fence = max(int(body["fence"]), self._newest_fence(buckets))
+        for one in buckets:
+            self.holds_by_bucket[one] = Hold(fence=fence, until=0.0)
         return self._answer(200, ("handover", f"h{fence}"))
 
+    def _newest_fence(self, buckets: range) -> int:
+        known = (self.holds_by_bucket.get(one) for one in buckets)
+        return max((one.fence for one in known if one is not None), default=0)
+
+
+def _buckets(body: dict[str, float]) -> range:
+    """Return the numbers of the buckets that a call names."""
+    first, last = int(body["From"]), int(body["Target"])
+    return range(first // BUCKET_KEYS, last // BUCKET_KEYS + 1)
+
+
+def _ignore(buckets: range, until: float) -> None:
+    """Take no note of a grant."""
+
 
 @contextlib.asynccontextmanager
 async def async_upstream(
--- a/tests/core/upstreams/test_state.py
+++ b/tests/core/upstreams/test_state.py
@@ -88,7 +88,7 @@
         far = made("u2", data_centre=ids.DataCentreId("b"))
         finish(near, Result.ANSWERED, 0.15)
         finish(far, Result.ANSWERED, 0.08)
-        policy = choice.POLICIES.get(choice.FEW_INSTANCES)
+        policy = choice.POLICIES.get(choice.DEFAULT_POLICY)
         assert policy([far, near], choosing()) is near
 
     def test_full_data_centre(self) -> None:
@@ -99,7 +99,7 @@
         finish(far, Result.ANSWERED, 0.08)
         for _ in range(6):
             near.start()
-        policy = choice.POLICIES.get(choice.FEW_INSTANCES)
+        policy = choice.POLICIES.get(choice.DEFAULT_POLICY)
         assert policy([far, near], choosing()) is far
 
     def test_slow_neighbourhood(self) -> None:
@@ -110,7 +110,7 @@
         )
         finish(slow, Result.ANSWERED, 0.1, report)
         finish(sound, Result.ANSWERED, 0.1)
-        policy = choice.POLICIES.get(choice.FEW_INSTANCES)
+        policy = choice.POLICIES.get(choice.DEFAULT_POLICY)
         assert policy([slow, sound], choosing(0.2)) is sound
 
 
--- /dev/null
+++ b/tests/stand_ins/test_upstream.py
@@ -0,0 +1,63 @@
+"""Tests of the stand-in of an upstream."""
+
+import json
+
+from dragonflyshelf.runtime import http_server
+from stand_ins import upstream
+
+
+class TestGrants:
+    """Ranges are granted, split and released by their fences."""
+
+    def server(self) -> upstream.UpstreamServer:
+        """Return an upstream that holds its first four buckets."""
+        made = upstream.UpstreamServer("u1", "archive", sharded=True)
+        assert self.call(made, "grant", 0, 255, 4) == 200
+        return made
+
+    def call(
+        self,
+        made: upstream.UpstreamServer,
+        verb: str,
+        first: int,
+        last: int,
+        fence: int,
+    ) -> int:
+        """Make a call about a range; return the status."""
+        body = {"From": first, "Target": last, "fence": fence, "HoldS": 5}
+        handler = made._grant if verb == "grant" else made._release
+        return handler(json.loads(json.dumps(body))).status
+
+    def held(self, made: upstream.UpstreamServer) -> list[int]:
+        """Return the keys at the begin of buckets that are held."""
+        return [
+            key
+            for key in range(0, 256, upstream.BUCKET_KEYS)
+            if made._holds(request(key))
+        ]
+
+    def test_part_is_granted_anew(self) -> None:
+        """A grant of a part leaves the rest as it was."""
+        made = self.server()
+        assert self.call(made, "grant", 64, 127, 6) == 200
+        assert self.held(made) == [0, 64, 128, 192]
+        assert self.call(made, "grant", 64, 127, 4) == 409
+        assert self.call(made, "grant", 128, 255, 4) == 200
+
+    def test_part_is_released(self) -> None:
+        """A released part is not granted again by an older fence."""
+        made = self.server()
+        assert self.call(made, "release", 64, 127, 5) == 200
+        assert self.held(made) == [0, 128, 192]
+        assert self.call(made, "grant", 0, 255, 4) == 409
+
+
+def request(key: int) -> http_server.ServerRequest:
+    """Return a request for a key."""
+    return http_server.ServerRequest(
+        method="GET",
+        path="/old/1",
+        query="",
+        headers={"shard-key": str(key)},
+        body=b"",
+    )
