--- a/Makefile
+++ b/Makefile
@@ -2,9 +2,11 @@
 PYTHON ?= python3
 STAMP = $(VENV)/.installed
 
-.PHONY: setup format lint test demo histories binary binary-test
+.PHONY: setup format lint test demo histories soak binary binary-test
 
+EPISODES = 1
 HISTORIES = 400
+SECONDS = 20
 SEED = 0
 
 setup: $(STAMP)
@@ -27,6 +29,9 @@
 demo: $(STAMP)
 	$(VENV)/bin/python -m bench.demo
 
+soak: $(STAMP)
+	$(VENV)/bin/python -m bench.soak --first $(SEED) --count $(EPISODES) --seconds $(SECONDS)
+
 histories: $(STAMP)
 	$(VENV)/bin/python -m bench.histories --first $(SEED) --count $(HISTORIES)
 
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -18,6 +18,7 @@
 DATA_CENTRES: Final = ("a", "b", "c")
 DEADLINE_MS: Final = 3000
 HOST: Final = "127.0.0.1"
+LOG_END_CHARS: Final = 2000
 READY_SECONDS: Final = 20.0
 
 
@@ -99,13 +100,21 @@
         return not self.is_running
 
     async def async_wait_ready(self, seconds: float = READY_SECONDS) -> None:
-        """Wait until the instance says that it is ready."""
-        async with asyncio.timeout(seconds):
-            while True:
-                found = await async_call(self.ports.ready, "/-/readyz", {})
-                if found.status == "200":
-                    return
-                await asyncio.sleep(0.05)
+        """Wait until the instance says that it is ready.
+
+        Raises ``TimeoutError`` with the end of the instance's log.
+        """
+        try:
+            async with asyncio.timeout(seconds):
+                while not await self._async_is_ready():
+                    await asyncio.sleep(0.05)
+        except TimeoutError as error:
+            end = self._log.read_text(encoding="utf-8")[-LOG_END_CHARS:]
+            raise TimeoutError(f"{self.name} is not ready: {end}") from error
+
+    async def _async_is_ready(self) -> bool:
+        found = await async_call(self.ports.ready, "/-/readyz", {})
+        return found.status == "200"
 
 
 def free_ports(count: int) -> list[int]:
--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -19,7 +19,6 @@
 from bench.soak import record
 from bench.soak import traffic
 from dragonflyshelf.runtime import http_client
-from stand_ins import configuration
 from stand_ins import store
 from stand_ins import upstream
 
@@ -34,9 +33,6 @@
 SHOWN: Final = 10
 """Violations of a check that are printed at most."""
 
-WITHDRAWN: Final = "two"
-"""Workspace that loses its key half-way."""
-
 
 async def async_play(
     seed: int, seconds: float, count: int, folder: pathlib.Path
@@ -78,9 +74,9 @@
 ) -> faults.World:
     """Start store, upstreams, proxies and instances."""
     served = await stack.enter_async_context(store.async_store())
-    keys = list(traffic.KEYS_BY_WORKSPACE.values())
+    keys = [traffic.KEYS_BY_WORKSPACE[traffic.SECOND]]
     served.objects.create(
-        "config", "main", configuration.letters(1, keys, faults.LEAST_RATE)
+        "config", "main", faults.configuration_of(1, keys, faults.LEAST_RATE)
     )
     upstreams = [
         await _async_upstream(stack, number, found) for number in range(6)
@@ -155,7 +151,7 @@
             await asyncio.sleep(world.chance.uniform(*FAULT_PAUSE))
             if not has_withdrawn and time.monotonic() - begun > seconds / 2:
                 has_withdrawn = True
-                world.withdraw(WITHDRAWN)
+                world.withdraw()
 
 
 async def _async_recover(world: faults.World) -> float | None:
@@ -171,7 +167,7 @@
                     processes.HOST, one.ports.callers
                 ) as client:
                     status, _ = await traffic.async_send(
-                        client, f"recovery-{number}", kind, "one"
+                        client, f"recovery-{number}", kind, traffic.FIRST
                     )
                 wrong += status != "200"
         if not wrong:
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -159,3 +159,10 @@
     """Check that everything is served after the last fault."""
     if found.recovered_after is None:
         yield f"not everything is served {RECOVERY_SECONDS} s after the end"
+
+
+@CHECKS.register("ready after a start")
+def check_ready(found: record.Record) -> abc.Iterator[str]:
+    """Check that a started instance is ready in time."""
+    for reason in found.not_ready:
+        yield f"after {processes.READY_SECONDS} s: {reason}"
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -40,6 +40,18 @@
         return found
 
 
+def configuration_of(
+    version: int, second_keys: list[str], rate: float
+) -> dict[str, object]:
+    """Return a configuration of two workspaces, as an operator writes it."""
+    return configuration.letters(
+        version,
+        [traffic.KEYS_BY_WORKSPACE[traffic.FIRST]],
+        rate,
+        others=((traffic.SECOND, second_keys),),
+    )
+
+
 @dataclasses.dataclass(kw_only=True)
 class World:
     """All that a fault may touch."""
@@ -51,23 +63,31 @@
     store_proxies: list[proxy.LoopbackProxy]
     upstreams: list[Upstream]
     busy: set[str] = dataclasses.field(default_factory=set)
-    keys: list[str] = dataclasses.field(
-        default_factory=lambda: list(traffic.KEYS_BY_WORKSPACE.values())
+    second_keys: list[str] = dataclasses.field(
+        default_factory=lambda: [traffic.KEYS_BY_WORKSPACE[traffic.SECOND]]
     )
     version: int = 1
 
     def configure(self, rate: float) -> None:
         """Write a newer configuration."""
         self.version += 1
-        spec = configuration.letters(self.version, self.keys, rate)
+        spec = configuration_of(self.version, self.second_keys, rate)
         self.store.objects.replace("config", "main", spec, None)
         self.store.notify()
 
-    def withdraw(self, workspace: str) -> None:
-        """Withdraw the key of a workspace for good."""
-        self.keys.remove(traffic.KEYS_BY_WORKSPACE[workspace])
+    def withdraw(self) -> None:
+        """Withdraw the key of the second workspace for good."""
+        self.second_keys.clear()
         self.configure(LEAST_RATE)
-        self.found.withdrawn_at[workspace] = time.monotonic()
+        self.found.withdrawn_at[traffic.SECOND] = time.monotonic()
+
+    async def async_start(self, one: processes.Instance) -> None:
+        """Start an instance and wait until it is ready."""
+        one.start()
+        try:
+            await one.async_wait_ready()
+        except TimeoutError as error:
+            self.found.not_ready.append(str(error))
 
     def free_instance(self) -> processes.Instance | None:
         """Return an instance that no other fault holds, and hold it.
@@ -108,8 +128,7 @@
     one.send(signal.SIGKILL)
     await one.async_end(checks.END_SECONDS)
     await asyncio.sleep(world.chance.uniform(0.1, 1.5))
-    one.start()
-    await one.async_wait_ready()
+    await world.async_start(one)
     world.give_back(one, begin)
 
 
@@ -125,8 +144,7 @@
     world.found.ends[one.name].append(time.monotonic() - begin)
     one.send(signal.SIGKILL)
     await one.async_end(checks.END_SECONDS)
-    one.start()
-    await one.async_wait_ready()
+    await world.async_start(one)
     world.busy.discard(one.name)
 
 
--- a/bench/soak/record.py
+++ b/bench/soak/record.py
@@ -46,7 +46,9 @@
     """All that the checks go by.
 
     ``withdrawn_at`` has the instants at which workspaces lost their
-    keys, ``rate`` is the least rate of a workspace over the episode.
+    keys, and ``rate`` is the highest rate of a workspace over the
+    episode. ``ends`` has, by instance, the seconds from SIGTERM to the
+    end, ``not_ready`` the instances that were not ready after a start.
     """
 
     seen: list[Seen] = dataclasses.field(default_factory=list)
@@ -60,6 +62,7 @@
     ends: dict[str, list[float]] = dataclasses.field(
         default_factory=lambda: collections.defaultdict(list)
     )
+    not_ready: list[str] = dataclasses.field(default_factory=list)
     recovered_after: float | None = None
 
     def runs_by_request(self) -> dict[str, list[upstream.Run]]:
--- a/bench/soak/traffic.py
+++ b/bench/soak/traffic.py
@@ -13,7 +13,9 @@
 from bench.soak import record
 from dragonflyshelf.runtime import http_client
 
-KEYS_BY_WORKSPACE: Final = {"one": "key-of-one", "two": "key-of-two"}
+FIRST: Final = "one"
+SECOND: Final = "two"
+KEYS_BY_WORKSPACE: Final = {FIRST: "key-of-one", SECOND: "key-of-two"}
 
 MOST_ON_CONNECTION: Final = 40
 """Requests after which a caller opens another connection."""
--- a/dragonflyshelf/cli/main.py
+++ b/dragonflyshelf/cli/main.py
@@ -25,7 +25,7 @@
 
     :param path: the INI file
     """
-    process.serve(process.read_settings(path))
+    process.serve(path)
 
 
 def show_settings(*, ini_file: bool = False) -> None:
--- a/dragonflyshelf/core/scheduling/budget.py
+++ b/dragonflyshelf/core/scheduling/budget.py
@@ -28,6 +28,10 @@
             ids.ServiceName, Times
         ] = collections.defaultdict(collections.deque)
 
+    def set_settings(self, config: settings.RetrySettings) -> None:
+        """Take over another budget; what was counted stays."""
+        self._config = config
+
     def set_instances(self, count: int) -> None:
         """Take over among how many the fixed amount is divided."""
         self._instances = max(count, 1)
--- a/dragonflyshelf/core/scheduling/coordinator.py
+++ b/dragonflyshelf/core/scheduling/coordinator.py
@@ -398,6 +398,15 @@
         self.fleet.set_services(configuration.services)
         return []
 
+    @HANDLERS.register(settings.SettingsChanged)
+    def _on_settings(
+        self, event: settings.SettingsChanged, now: ids.Instant
+    ) -> Effects:
+        self._config = event.settings
+        self.budget.set_settings(event.settings.retries)
+        self._retries.set_settings(event.settings.requests)
+        return []
+
     @HANDLERS.register(messages.ConfigurationConfirmed)
     def _on_confirmed(
         self, event: messages.ConfigurationConfirmed, now: ids.Instant
--- a/dragonflyshelf/core/scheduling/messages.py
+++ b/dragonflyshelf/core/scheduling/messages.py
@@ -8,6 +8,7 @@
 from dragonflyshelf.core import messages
 from dragonflyshelf.core.quota import messages as quota
 from dragonflyshelf.core.routing import objects as routing
+from dragonflyshelf.core import settings
 from dragonflyshelf.core.upstreams import messages as upstream_events
 from dragonflyshelf.core.upstreams import objects as upstreams
 from dragonflyshelf.core.upstreams import state
@@ -119,6 +120,7 @@
     | InstancesChanged
     | upstream_events.RegistrationsChanged
     | RequestArrived
+    | settings.SettingsChanged
     | TimePassed
     | quota.LendTokens
 )
--- a/dragonflyshelf/core/scheduling/retries.py
+++ b/dragonflyshelf/core/scheduling/retries.py
@@ -28,6 +28,10 @@
         self._replay_bytes = config.requests.replay_bytes
         self._budget = repeats
 
+    def set_settings(self, requests: settings.RequestSettings) -> None:
+        """Take over how long a body may be to be sent again."""
+        self._replay_bytes = requests.replay_bytes
+
     def pause_before_repeat(
         self,
         exchange: exchanges.Exchange,
--- a/dragonflyshelf/core/settings.py
+++ b/dragonflyshelf/core/settings.py
@@ -6,7 +6,7 @@
 
 import dataclasses
 import enum
-from typing import Annotated
+from typing import Annotated, Final
 
 from dragonflyshelf.core import ids
 from dragonflyshelf.core import ranges
@@ -124,12 +124,14 @@
     """Section ``entry``: addresses for callers and health checks.
 
     ``ready`` answers the balancer, and serves the metrics. ``relay_port``
-    is the port for the other instances.
+    is the port for the other instances. With a ``metrics_port`` the
+    metrics are served there too, on the host of ``ready``.
     """
 
     callers: str = ""
     ready: str = ""
     relay_port: Annotated[int, PORT] = 7100
+    metrics_port: Annotated[int, PORT] = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -172,6 +174,10 @@
     clock_rate: Annotated[float, ranges.Range(minimum=0, maximum=0.2)] = 0.02
 
 
+RELOADED: Final = ("freshness", "log", "requests", "retries")
+"""Sections that a running instance takes over from a changed file."""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Settings:
     """All settings of one process."""
@@ -187,3 +193,24 @@
     shutdown: ShutdownSettings = ShutdownSettings()
     store: StoreSettings = StoreSettings()
     upstreams: UpstreamSettings = UpstreamSettings()
+
+    def changed_sections(self, other: "Settings") -> tuple[str, ...]:
+        """Return the names of the sections that differ."""
+        return tuple(
+            one.name
+            for one in dataclasses.fields(self)
+            if getattr(self, one.name) != getattr(other, one.name)
+        )
+
+    def reloaded(self, newer: "Settings") -> "Settings":
+        """Return the settings with what a running instance takes over."""
+        return dataclasses.replace(
+            self, **{name: getattr(newer, name) for name in RELOADED}
+        )
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class SettingsChanged:
+    """Message: the settings of the process have changed."""
+
+    settings: Settings
--- a/dragonflyshelf/platform/__main__.py
+++ b/dragonflyshelf/platform/__main__.py
@@ -10,7 +10,7 @@
 def main() -> None:
     """Serve until a signal ends it."""
     path = pathlib.Path(os.environ.get(names.SETTINGS_VARIABLE, ""))
-    process.serve(process.read_settings(path))
+    process.serve(path)
 
 
 if __name__ == "__main__":
--- a/dragonflyshelf/runtime/callers/listener.py
+++ b/dragonflyshelf/runtime/callers/listener.py
@@ -92,6 +92,13 @@
         )
         self._tell_all(message)
 
+    @task.handles(settings.SettingsChanged)
+    def _on_settings(self, message: settings.SettingsChanged) -> None:
+        """Take over the settings for connections that come from now on."""
+        self._config = dataclasses.replace(
+            message.settings, requests=self._config.requests
+        )
+
     @task.handles(messages.LeaveCallers)
     def _on_leave(self, message: messages.LeaveCallers) -> None:
         self._leaving = True
--- a/dragonflyshelf/runtime/gateway/control.py
+++ b/dragonflyshelf/runtime/gateway/control.py
@@ -20,6 +20,7 @@
 from dragonflyshelf.core import registry
 from dragonflyshelf.core.relay import messages as relay
 from dragonflyshelf.core.relay import sources
+from dragonflyshelf.core.routing import objects as routing
 from dragonflyshelf.core.scheduling import messages as scheduling
 from dragonflyshelf.core import settings
 from dragonflyshelf.core.store import messages as store
@@ -216,22 +217,28 @@
             self._inboxes.router.post(
                 scheduling.ConfigurationChanged(configuration=value)
             )
-            limits = value.limits
-            self._inboxes.callers.post(
-                callers.BoundsChanged(
-                    requests=dataclasses.replace(
-                        self._config.requests,
-                        head_bytes=limits.head_bytes,
-                        body_bytes=limits.body_bytes,
-                        read_timeout=limits.head_timeout,
-                        idle_timeout=limits.idle_timeout,
-                    )
-                )
-            )
+            self._publish_bounds(value.limits)
             lender = self._relaying.lender
             lender.set_workspaces(value.workspaces, self.now)
             self._run(grantor.ServicesChanged(services=value.services))
 
+    def _publish_bounds(self, limits: routing.Limits) -> None:
+        """Tell what callers may send, by settings and configuration."""
+        bounds = dataclasses.replace(
+            self._config.requests,
+            head_bytes=limits.head_bytes,
+            body_bytes=limits.body_bytes,
+            read_timeout=limits.head_timeout,
+            idle_timeout=limits.idle_timeout,
+        )
+        self._inboxes.callers.post(callers.BoundsChanged(requests=bounds))
+
+    @task.handles(settings.SettingsChanged)
+    def _on_settings(self, message: settings.SettingsChanged) -> None:
+        self._config = message.settings
+        for value in self._decoded.values(Kind.CONFIGURATION):
+            self._publish_bounds(value.limits)
+
     @PUBLISHERS.register(Kind.REGISTRATION)
     def _publish_registrations(self) -> None:
         values = self._decoded.values(Kind.REGISTRATION)
--- a/dragonflyshelf/runtime/gateway/health.py
+++ b/dragonflyshelf/runtime/gateway/health.py
@@ -19,15 +19,19 @@
     def __init__(self, is_ready: abc.Callable[[], bool]) -> None:
         """Create the listener; it binds in ``async_listen``."""
         self._is_ready = is_ready
-        self._server = http_server.HttpServer(self._async_handle)
+        self._servers: list[http_server.HttpServer] = []
 
-    async def async_listen(self, host: str, port: int) -> None:
-        """Bind the address and start to accept."""
-        await self._server.async_listen(host, port)
+    async def async_listen(self, host: str, *ports: int) -> None:
+        """Bind the ports and start to accept."""
+        for port in ports:
+            made = http_server.HttpServer(self._async_handle)
+            await made.async_listen(host, port)
+            self._servers.append(made)
 
     def close(self) -> None:
         """Stop accepting."""
-        self._server.close()
+        for one in self._servers:
+            one.close()
 
     async def _async_handle(
         self, request: http_server.ServerRequest
--- a/dragonflyshelf/runtime/gateway/router.py
+++ b/dragonflyshelf/runtime/gateway/router.py
@@ -152,6 +152,11 @@
     ) -> None:
         self._run(message)
 
+    @task.handles(settings.SettingsChanged)
+    def _on_settings(self, message: settings.SettingsChanged) -> None:
+        self._config = message.settings
+        self._run(message)
+
     @task.handles(scheduling.ConfigurationConfirmed)
     def _on_confirmed(
         self, message: scheduling.ConfigurationConfirmed
--- a/dragonflyshelf/runtime/gateway/server.py
+++ b/dragonflyshelf/runtime/gateway/server.py
@@ -4,6 +4,7 @@
 from collections import abc
 import contextlib
 import dataclasses
+import pathlib
 import signal
 import time
 
@@ -21,6 +22,7 @@
 from dragonflyshelf.runtime.grantor import calls
 from dragonflyshelf.runtime.relay import client
 from dragonflyshelf.runtime.relay import server as relay
+from dragonflyshelf.runtime import reload
 from dragonflyshelf.runtime import shutdown
 from dragonflyshelf.runtime.store import watch
 from dragonflyshelf.runtime.store import write
@@ -82,7 +84,10 @@
     health_listener = health.HealthListener(lambda: control_task.is_ready)
     async with contextlib.AsyncExitStack() as stack:
         stack.callback(health_listener.close)
-        await health_listener.async_listen(ready.host, ready.port)
+        ports = [ready.port]
+        if config.entry.metrics_port:
+            ports.append(config.entry.metrics_port)
+        await health_listener.async_listen(ready.host, *ports)
         await relay_server.async_listen(entry.host, own.port)
         await callers.async_listen(entry.host, entry.port)
         for one in (
@@ -107,16 +112,39 @@
         )
 
 
-async def async_main(config: settings.Settings) -> shutdown.Cut:
-    """Serve until signals ask for the end; return what was cut."""
+@contextlib.asynccontextmanager
+async def async_reloading(
+    config: settings.Settings, path: pathlib.Path, serving: Server
+) -> abc.AsyncIterator[reload.ReloadTask]:
+    """Let a running instance take over a changed settings file."""
+    receivers = (
+        serving.router.inbox,
+        serving.control.inbox,
+        serving.callers.inbox,
+    )
+    made = reload.ReloadTask(config, path, receivers)
+    async with made.async_running():
+        yield made
+
+
+async def async_main(
+    config: settings.Settings, path: pathlib.Path
+) -> shutdown.Cut:
+    """Serve until signals ask for the end; return what was cut.
+
+    ``path`` is the settings file, which is read again on ``SIGHUP``.
+    """
     loop = asyncio.get_running_loop()
-    async with async_serving(config) as serving:
+    async with (
+        async_serving(config) as serving,
+        async_reloading(config, path, serving) as reloading,
+    ):
         ending = serving.shutdown
         for one in (signal.SIGINT, signal.SIGTERM):
             loop.add_signal_handler(
                 one, ending.inbox.post, shutdown.StopWanted()
             )
         loop.add_signal_handler(
-            signal.SIGHUP, _LOGGER.info, "settings are read at the start only"
+            signal.SIGHUP, reloading.inbox.post, reload.ReloadWanted()
         )
         return await ending.async_wait()
--- a/dragonflyshelf/runtime/logs.py
+++ b/dragonflyshelf/runtime/logs.py
@@ -1,5 +1,6 @@
 """Logs of ``absl.logging`` as JSON lines."""
 
+import atexit
 import datetime
 import json
 import logging as standard_logging
@@ -13,6 +14,7 @@
 
 from dragonflyshelf.core import errors
 from dragonflyshelf.core import settings
+from dragonflyshelf.runtime import log_stream
 
 FIELDS: Final = (
     "code",
@@ -81,12 +83,20 @@
     }
 
 
+def set_level(level: settings.LogLevel) -> None:
+    """Log from a level on."""
+    logging.set_verbosity(LEVELS[level])
+
+
 def configure(config: settings.Settings) -> None:
     """Send all logs to standard output as JSON lines."""
     flags.FLAGS([dragonflyshelf.__name__])
     logging.use_absl_handler()
-    logging.set_verbosity(LEVELS[config.log.level])
+    set_level(config.log.level)
     logging.set_stderrthreshold(logging.FATAL)
     handler = logging.get_absl_handler()
-    handler.python_handler.stream = sys.stdout
+    stream = log_stream.LogStream(sys.stdout.fileno())
+    handler.python_handler.stream = stream
+    handler.addFilter(log_stream.VolumeFilter())
     handler.setFormatter(JsonFormatter(config))
+    atexit.register(stream.drain)
--- a/dragonflyshelf/runtime/process.py
+++ b/dragonflyshelf/runtime/process.py
@@ -11,6 +11,7 @@
 from dragonflyshelf.runtime.gateway import server
 from dragonflyshelf.runtime import logs
 from dragonflyshelf.runtime import loops
+from dragonflyshelf.runtime import reload
 
 EXIT_FAILURE: Final = 1
 EXIT_USAGE: Final = 2
@@ -20,24 +21,23 @@
 def read_settings(path: pathlib.Path) -> settings.Settings:
     """Return the settings of a file, or exit with its mistakes."""
     try:
-        return ini.parse(str(path), path.read_text(encoding="utf-8"))
+        return reload.read(path)
     except ini.BadSettingsFile as error:
         for mistake in error.mistakes:
             print(f"{error.code} {mistake}", file=sys.stderr)
-    except (OSError, UnicodeDecodeError) as error:
-        print(f"{errors.BadSettings.code} {error}", file=sys.stderr)
     raise SystemExit(EXIT_USAGE)
 
 
-def serve(config: settings.Settings) -> None:
-    """Run one instance until a signal ends it.
+def serve(path: pathlib.Path) -> None:
+    """Run one instance with the settings of a file until a signal ends it.
 
     Raises ``CannotListen``; exits with ``EXIT_CUT`` if requests were cut.
     """
+    config = read_settings(path)
     logs.configure(config)
     try:
         with asyncio.Runner(loop_factory=loops.BoottimeEventLoop) as runner:
-            cut = runner.run(server.async_main(config))
+            cut = runner.run(server.async_main(config, path))
     except OSError as error:
         raise errors.CannotListen(str(error)) from error
     if cut.requests:
--- a/stand_ins/configuration.py
+++ b/stand_ins/configuration.py
@@ -2,12 +2,16 @@
 
 
 def letters(
-    version: int, keys: list[str], rate: float = 1000
+    version: int,
+    keys: list[str],
+    rate: float = 1000,
+    others: tuple[tuple[str, list[str]], ...] = (),
 ) -> dict[str, object]:
     """Return a configuration with a plain and a sharded service.
 
-    It is spelled as the operator writes it to the store; ``rate`` is in
-    requests a second, and the burst is one second of it.
+    It is spelled as the operator writes it to the store. The keys are
+    those of workspace one, ``others`` are more workspaces with theirs.
+    ``rate`` is in requests a second, the burst is one second of it.
     """
     return {
         "Version": f"r{version}",
@@ -39,8 +43,8 @@
         "Tenants": {
             "Columns": ["Name", "ApiKeys", "RatePerS", "Burst"],
             "Rows": [
-                [key.removeprefix("key-of-"), [key], rate, rate]
-                for key in keys
+                [name, owned, rate, rate]
+                for name, owned in (("one", keys), *others)
             ],
         },
     }
--- a/tests/codec/test_reference.py
+++ b/tests/codec/test_reference.py
@@ -50,6 +50,7 @@
     "Listen.Front": "10.1.0.24:8045",
     "Listen.ReadyAddr": "10.1.0.24:8048",
     "InternalPorts.0": "7100",
+    "InternalPorts.1": "7115",
     "Platform.Address": "10.200.1.7:8041",
     "Bounds.RetryBudgetRatio": "0.2",
     "Bounds.RetryBudgetSlack": "56",
--- a/tests/tools/test_binary.py
+++ b/tests/tools/test_binary.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from bench import demo
+from bench import processes
 from tools import binary
 
 CHILD_FAULTS = 8
@@ -31,8 +31,8 @@
     """Return the settings of one instance alone."""
     return (
         "[instance]\nname = solo\ndata_centre = local\n[entry]\n"
-        f"callers = {demo.HOST}:{ports[0]}\nready = {demo.HOST}:{ports[1]}\n"
-        f"relay_port = {ports[2]}\n[store]\naddress = {demo.HOST}:1\n"
+        f"callers = {processes.HOST}:{ports[0]}\nready = {processes.HOST}:{ports[1]}\n"
+        f"relay_port = {ports[2]}\n[store]\naddress = {processes.HOST}:1\n"
     )
 
 
@@ -51,7 +51,7 @@
     executable: pathlib.Path, tmp_path: pathlib.Path
 ) -> abc.Iterator[Started]:
     """Run the file by an interpreter without any library."""
-    ports = demo.free_ports(3)
+    ports = processes.free_ports(3)
     path = tmp_path / "solo.ini"
     path.write_text(settings_text(ports), encoding="utf-8")
     interpreter = getattr(sys, "_base_executable", sys.executable)
