--- a/tests/tools/test_binary.py
+++ b/tests/tools/test_binary.py
@@ -31,7 +31,8 @@
     """Return the settings of one instance alone."""
     return (
         "[instance]\nname = solo\ndata_centre = local\n[entry]\n"
-        f"callers = {processes.HOST}:{ports[0]}\nready = {processes.HOST}:{ports[1]}\n"
+        f"callers = {processes.HOST}:{ports[0]}\n"
+        f"ready = {processes.HOST}:{ports[1]}\n"
         f"relay_port = {ports[2]}\n[store]\naddress = {processes.HOST}:1\n"
     )
 
@@ -69,8 +70,11 @@
 
 async def async_wait_listening(started: Started) -> None:
     """Wait until the instance answers, not ready without its store."""
-    async with asyncio.timeout(demo.READY_SECONDS):
-        while await demo.async_call(started.ready, "/-/readyz", {}) != "503":
+    async with asyncio.timeout(processes.READY_SECONDS):
+        while True:
+            found = await processes.async_call(started.ready, "/-/readyz", {})
+            if found.status == "503":
+                return
             assert started.process.poll() is None
             await asyncio.sleep(0.1)
 
@@ -93,9 +97,11 @@
     def test_serves_in_one_process(self, started: Started) -> None:
         """It unpacks, serves and ends without any child process."""
         asyncio.run(async_wait_listening(started))
-        answer = asyncio.run(demo.async_call(started.callers, "/none/1", {}))
-        assert answer == "503"
+        answer = asyncio.run(
+            processes.async_call(started.callers, "/none/1", {})
+        )
+        assert answer.status == "503"
         assert children(started.process) == ""
         assert faults_of_children(started.process) == 0
         started.process.send_signal(signal.SIGTERM)
-        assert started.process.wait(demo.READY_SECONDS) == 0
+        assert started.process.wait(processes.READY_SECONDS) == 0
