Explain a request from the logs of many instances

`dragonflyshelf explain REQUEST-ID LOG...` follows a request through its attempts, shows what its instance had come to believe in the ten seconds before and names the line that decided, with its age. Lines may carry a prefix of whoever collected them.

Cause: docs/OPERATIONS.md told engineers to grep and sort by hand, and nothing showed which copy of the objects a decision went by.

--- /dev/null
+++ b/dragonflyshelf/cli/explain.py
@@ -0,0 +1,67 @@
+"""Explanation of one request from the logs of many instances."""
+
+from collections import abc
+import pathlib
+import sys
+from typing import Final
+
+from dragonflyshelf.codec import log_lines
+from dragonflyshelf.core.timeline import explanation
+
+EXIT_UNKNOWN: Final = 1
+
+
+def explain(request_id: str, *logs: pathlib.Path) -> None:
+    """Tell from logs what became of a request and why.
+
+    :param request_id: the id that the caller sent
+    :param logs: log files of instances; standard input if there is none
+    """
+    found = explanation.explain(log_lines.decode(_lines(logs)), request_id)
+    if not found:
+        print(f"no line names the request {request_id}", file=sys.stderr)
+        raise SystemExit(EXIT_UNKNOWN)
+    for one in found:
+        print(text_of(one))
+    print(conclusion(found))
+
+
+def _lines(logs: abc.Sequence[pathlib.Path]) -> abc.Iterator[str]:
+    if not logs:
+        yield from sys.stdin
+        return
+    for path in logs:
+        with path.open(encoding="utf-8", errors="replace") as lines:
+            yield from lines
+
+
+def text_of(one: explanation.Explained) -> str:
+    """Return a line of the explanation."""
+    line = one.line
+    details = " ".join(
+        f"{name}={value}"
+        for name, value in (
+            ("code", line.code),
+            ("outcome", line.outcome),
+            ("step", line.step),
+            ("peer", line.peer),
+            ("status", line.status),
+            ("seconds", line.seconds or ""),
+        )
+        if value
+    )
+    mark = "*" if one.about_request else " "
+    text = f"{mark} -{one.before_end:.3f} s {line.instance}: {line.event}"
+    return f"{text} ({details})" if details else text
+
+
+def conclusion(found: abc.Sequence[explanation.Explained]) -> str:
+    """Return what decided the outcome, and how old it was at the end."""
+    line = explanation.deciding(found)
+    if line is None:
+        return "decided by: nothing failed that was logged"
+    age = next(one.before_end for one in found if one.line is line)
+    return (
+        f"decided by: {line.event} ({line.code} at step {line.step}),"
+        f" {age:.3f} s before the end at {line.instance}"
+    )
--- a/dragonflyshelf/cli/main.py
+++ b/dragonflyshelf/cli/main.py
@@ -6,6 +6,7 @@
 import defopt
 
 import dragonflyshelf
+from dragonflyshelf.cli import explain
 from dragonflyshelf.codec import reference
 from dragonflyshelf.core import errors
 from dragonflyshelf.runtime import process
@@ -48,6 +49,7 @@
         defopt.run(
             {
                 "check": check,
+                "explain": explain.explain,
                 "serve": serve,
                 "settings": show_settings,
                 "version": version,
