--- a/dragonflyshelf/core/grantor/const.py
+++ b/dragonflyshelf/core/grantor/const.py
@@ -11,6 +11,9 @@
 FIRST_EPOCH: Final = 2
 """Epoch of the first holder of a range."""
 
+INSTANCES_UNKNOWN: Final = 16
+"""Instances that may want the lease, before they are counted."""
+
 LEASE_NAME: Final = "lease"
 """Name of the lease among the system's own objects."""
 
@@ -74,8 +77,8 @@
 SUSPICION: Final = 5.0
 """Seconds after which a suspect may be given ranges again."""
 
-TAKEOVER_STAGGER: Final = 0.3
-"""Seconds over which the other instances spread their takeovers."""
+TAKEOVER_STAGGER: Final = 0.0375
+"""Seconds for each instance over which they spread their takeovers."""
 
 TICK: Final = 0.1
 """Seconds between looks at leases and grants."""
--- a/dragonflyshelf/core/grantor/coordinator.py
+++ b/dragonflyshelf/core/grantor/coordinator.py
@@ -190,6 +190,12 @@
         if keeper.is_leading:
             keeper.answered(event, now)
 
+    @HANDLERS.register(messages.InstancesCounted)
+    def _on_instances(
+        self, event: messages.InstancesCounted, now: ids.Instant
+    ) -> None:
+        self.lease.set_instances(event.count)
+
     @HANDLERS.register(messages.TimePassed)
     def _on_time(self, event: messages.TimePassed, now: ids.Instant) -> None:
         """Leave it to ``handle`` to look at what is due."""
--- a/dragonflyshelf/core/grantor/lease.py
+++ b/dragonflyshelf/core/grantor/lease.py
@@ -56,7 +56,32 @@
         digest = xxhash.xxh64_intdigest(
             f"{own.holder}/{own.incarnation}".encode()
         )
-        self._stagger = const.TAKEOVER_STAGGER * (digest % 1000) / 1000
+        self._place = (digest % 1000) / 1000
+        self._instances = const.INSTANCES_UNKNOWN
+
+    def set_instances(self, count: int) -> None:
+        """Take over how many instances may want the lease."""
+        self._instances = count
+
+    @property
+    def _stagger(self) -> float:
+        """Return the own place among the takeovers, in seconds.
+
+        The first of many comes as soon as the first of few, and the
+        others see its lease in time.
+        """
+        return const.TAKEOVER_STAGGER * self._place * self._instances
+
+    @property
+    def _retry_interval(self) -> float:
+        """Return the seconds until a failed write is tried again.
+
+        The holder tries often; all others together no more often.
+        """
+        if self.is_own:
+            return const.RETRY_INTERVAL
+        others = const.RETRY_INTERVAL * self._instances
+        return others * (0.5 + self._place)
 
     @property
     def lease(self) -> objects.Lease | None:
@@ -99,7 +124,7 @@
         if event.outcome is store.WriteOutcome.CONFLICT:
             is_done = self._lease == value
         if not is_done:
-            self._next_try = ids.Instant(now + const.RETRY_INTERVAL)
+            self._next_try = ids.Instant(now + self._retry_interval)
             return
         if not self.is_own:
             self.role = Role.FOLLOWING
--- a/dragonflyshelf/core/grantor/messages.py
+++ b/dragonflyshelf/core/grantor/messages.py
@@ -78,6 +78,13 @@
     loads: tuple[RangeLoad, ...]
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class InstancesCounted:
+    """Event: so many instances may want the lease."""
+
+    count: int
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class TimePassed:
     """Event: the instant that ``wake_at`` named has come."""
@@ -151,6 +158,7 @@
     | ControlSeen
     | ControlWritten
     | upstream_events.EvacuationsChanged
+    | InstancesCounted
     | LoadReported
     | upstream_events.PacesChanged
     | RangeAnswered
--- a/dragonflyshelf/core/quota/const.py
+++ b/dragonflyshelf/core/quota/const.py
@@ -14,10 +14,10 @@
 FIRST_LEVEL: Final = 0.3
 """Part of a burst that a new home of tokens starts with."""
 
-INSTANCES_UNKNOWN: Final = 16
+INSTANCES_UNKNOWN: Final = 64
 """Instances among which a rate is divided before they are known."""
 
-LEADER_SILENCE: Final = 0.06
+LEADER_SILENCE: Final = 0.1
 """Seconds without an answer after which a borrowing has failed."""
 
 LONGEST_WAIT: Final = 5.0
--- a/dragonflyshelf/core/quota/limiter.py
+++ b/dragonflyshelf/core/quota/limiter.py
@@ -31,6 +31,7 @@
     tokens: int = 0
     borrowed_at: ids.Instant = ids.Instant(0.0)
     asked_at: ids.Instant | None = None
+    is_overdue: bool = False
     empty_until: ids.Instant = ids.Instant(0.0)
     demanded: demand.Demand = dataclasses.field(default_factory=demand.Demand)
     fallback: bucket.TokenBucket | None = None
@@ -124,12 +125,21 @@
         return messages.BorrowTokens(workspace=workspace, tokens=tokens)
 
     def lent(self, lend: messages.LendTokens, now: ids.Instant) -> None:
-        """Take in the answer to a borrowing."""
+        """Take in the answer to a borrowing.
+
+        One that comes late is lost: those who waited for it have gone
+        on with the fixed part.
+        """
         stock = self._stocks_by_workspace.get(lend.workspace)
         if stock is None:
             return
         self._leader_is_silent = False
+        is_late = stock.is_overdue
+        stock.is_overdue = False
         stock.asked_at = None
+        stock.fallback = None
+        if is_late:
+            return
         stock.expire(now)
         stock.tokens += lend.tokens
         if lend.tokens:
@@ -148,6 +158,7 @@
         if now - stock.asked_at < const.LEADER_SILENCE:
             return False
         self._leader_is_silent = True
+        stock.is_overdue = True
         return True
 
     def give_back(self, workspace: ids.WorkspaceId) -> None:
@@ -185,5 +196,6 @@
                 rate=one.rate * part,
                 burst=max(one.burst * part, 1.0),
                 now=now,
+                tokens=one.burst * part,
             )
         return stock.fallback
--- a/dragonflyshelf/core/relay/following.py
+++ b/dragonflyshelf/core/relay/following.py
@@ -15,10 +15,11 @@
 AVOIDANCE: Final = 5.0
 """Seconds for which a relay that was silent is not asked again."""
 
-OLDEST: Final = 2.4
+OLDEST: Final = 6.0
 """Age of the configuration, in seconds, past which a relay is left.
 
-It is less than the age at which an instance goes to the store itself.
+While the store is down all copies grow old, and the leader has none
+that is newer; so it is above the age at which requests are refused.
 """
 
 SILENCE: Final = 0.7
--- a/dragonflyshelf/core/relay/sources.py
+++ b/dragonflyshelf/core/relay/sources.py
@@ -8,6 +8,7 @@
 from dragonflyshelf.core.store import messages as store
 
 EVERY_KIND: Final = frozenset(store.ObjectKind)
+FRESHNESS_KIND: Final = frozenset({store.ObjectKind.CONFIGURATION})
 LEASE_KIND: Final = frozenset({store.ObjectKind.CONTROL})
 NO_KIND: Final[frozenset[store.ObjectKind]] = frozenset()
 WRITTEN_BY_OTHERS: Final = EVERY_KIND - LEASE_KIND
@@ -18,6 +19,9 @@
 FIRST_SILENCE: Final = 0.8
 """Seconds after the start for which a leading instance is looked for."""
 
+MEMBER_DIRECT_AFTER: Final = 3.3
+"""The same age for an instance that nobody asks."""
+
 DIRECT_FOR: Final = 0.7
 """Seconds for which an instance goes on watching for itself."""
 
@@ -29,15 +33,17 @@
     """Tells which kinds an instance has to watch in the store itself.
 
     A leader watches all but the kind that it writes, and a follower that
-    hears nothing fresh watches all; the others would only pay for calls
-    that the leader makes already. An instance that has just started
-    looks for a leader first.
+    hears nothing watches all; the others would only pay for calls that
+    the leader makes already. A follower whose copy grows old watches the
+    configuration. An instance that has just started looks for a leader
+    first.
     """
 
     def __init__(self) -> None:
         """Create a chooser that has heard nothing."""
         self._updated_at = ids.Instant(0.0)
         self._direct_until = ids.Instant(0.0)
+        self._beside_until = ids.Instant(0.0)
         self._has_heard = False
 
     def start(self, now: ids.Instant) -> None:
@@ -50,22 +56,27 @@
         self._has_heard = True
 
     def wanted(
-        self, is_leading: bool, age: float, now: ids.Instant
+        self, is_leading: bool, is_relay: bool, age: float, now: ids.Instant
     ) -> abc.Set[store.ObjectKind]:
         """Return the kinds to watch; ``age`` is of the configuration."""
-        wants_store = self.wants_store(is_leading, age, now)
+        if is_leading or now - self._updated_at > RELAY_SILENCE:
+            self._direct_until = ids.Instant(now + DIRECT_FOR)
         if is_leading:
             return WRITTEN_BY_OTHERS
-        if wants_store:
+        if now < self._direct_until:
             return EVERY_KIND
-        return NO_KIND if self._has_heard else LEASE_KIND
-
-    def wants_store(
-        self, is_leading: bool, age: float, now: ids.Instant
-    ) -> bool:
-        """Decide for now; ``age`` is that of the configuration."""
-        is_silent = now - self._updated_at > RELAY_SILENCE
-        is_old = self._has_heard and age > DIRECT_AFTER
-        if is_leading or is_silent or is_old:
-            self._direct_until = ids.Instant(now + DIRECT_FOR)
-        return now < self._direct_until
+        if not self._has_heard:
+            return LEASE_KIND
+        return self._wanted_beside(is_relay, age, now)
+
+    def _wanted_beside(
+        self, is_relay: bool, age: float, now: ids.Instant
+    ) -> abc.Set[store.ObjectKind]:
+        """Return what is watched while another instance tells the rest.
+
+        Its copies grow old when it does not reach the store. A relay
+        then tries for its members; they try later, if it has not helped.
+        """
+        if age > (DIRECT_AFTER if is_relay else MEMBER_DIRECT_AFTER):
+            self._beside_until = ids.Instant(now + DIRECT_FOR)
+        return FRESHNESS_KIND if now < self._beside_until else NO_KIND
--- a/dragonflyshelf/core/upstreams/ramp.py
+++ b/dragonflyshelf/core/upstreams/ramp.py
@@ -17,7 +17,10 @@
 """Instances that may send to one cold upstream."""
 
 SPONSOR_BURST = 1.0
-"""Requests that a sponsor may send at once."""
+"""Requests that a sponsor may send at once.
+
+A new sponsor begins with none, as a former one may just have sent some.
+"""
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -43,16 +46,20 @@
     """Admits requests to cold upstreams at this instance."""
 
     def __init__(self, instance: ids.InstanceId) -> None:
-        """Create the ramp of an instance that knows no other."""
+        """Create the ramp of an instance that knows of nobody yet.
+
+        It sends nothing to a cold upstream, as it may not be a sponsor.
+        """
         self._instance = instance
-        self._instances: tuple[ids.InstanceId, ...] = (instance,)
+        self._instances: tuple[ids.InstanceId, ...] = ()
         self._buckets_by_life: dict[ids.UpstreamLife, SponsorBucket] = {}
 
     def set_instances(self, instances: tuple[ids.InstanceId, ...]) -> None:
         """Take over the names of all instances."""
-        if instances != self._instances:
-            self._instances = instances
-            self._buckets_by_life.clear()
+        self._instances = instances
+        for life in list(self._buckets_by_life):
+            if self._instance not in sponsors(life, instances):
+                del self._buckets_by_life[life]
 
     def has_token(
         self, life: ids.UpstreamLife, rate: float, now: ids.Instant
@@ -82,7 +89,7 @@
         found = SponsorBucket(
             rate=rate,
             tokens=bucket.TokenBucket(
-                rate=share, burst=SPONSOR_BURST, now=now
+                rate=share, burst=SPONSOR_BURST, now=now, tokens=0.0
             ),
         )
         self._buckets_by_life[life] = found
--- a/dragonflyshelf/runtime/gateway/control.py
+++ b/dragonflyshelf/runtime/gateway/control.py
@@ -329,7 +329,12 @@
 
     def _choose_source(self) -> None:
         """Watch in the store what no other instance tells."""
-        wanted = self._chooser.wanted(self.is_leading, self.age, self.now)
+        wanted = self._chooser.wanted(
+            self.is_leading,
+            self._relaying.is_relay(self.now),
+            self.age,
+            self.now,
+        )
         if wanted == self._watched:
             return
         self._watched = wanted
@@ -344,7 +349,9 @@
                     kind: self._replica.copy(kind).revision
                     for kind in Kind
                     if kind in wanted
-                }
+                },
+                is_awaited=self.is_leading
+                or self._relaying.is_relay(self.now),
             )
         )
 
@@ -387,6 +394,7 @@
 
     def _tell_instances(self, names: tuple[ids.InstanceId, ...]) -> None:
         self._inboxes.router.post(scheduling.InstancesChanged(instances=names))
+        self._run(grantor.InstancesCounted(count=len(names)))
 
     @task.handles(quota.BorrowTokens)
     def _on_borrow_wanted(self, message: quota.BorrowTokens) -> None:
--- a/dragonflyshelf/runtime/gateway/relaying.py
+++ b/dragonflyshelf/runtime/gateway/relaying.py
@@ -75,6 +75,10 @@
         assert self.client is not None
         self.client.post(message)
 
+    def is_relay(self, now: ids.Instant) -> bool:
+        """Tell whether other instances ask this one."""
+        return bool(self.followers.members(now))
+
     def check(self, age: float, now: ids.Instant) -> None:
         """Leave a relay that is silent or tells nothing fresh."""
         if self._following.is_useless(age, now):
@@ -180,8 +184,7 @@
     def _borrow_if_wanted(
         self, workspace: ids.WorkspaceId, now: ids.Instant
     ) -> None:
-        is_relay = bool(self.followers.members(now))
-        wanted = self._pool.wanted(workspace, is_relay, now)
+        wanted = self._pool.wanted(workspace, self.is_relay(now), now)
         if wanted is not None:
             self._post_client(relay.Borrow(borrowings=(wanted,)))
 
--- a/dragonflyshelf/runtime/store/messages.py
+++ b/dragonflyshelf/runtime/store/messages.py
@@ -8,9 +8,13 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class WatchKinds:
-    """Watch these kinds from the given revisions on; 0 lists first."""
+    """Watch these kinds from the given revisions on; 0 lists first.
+
+    ``is_awaited`` tells that other instances wait for what is read.
+    """
 
     revisions_by_kind: dict[store.ObjectKind, ids.Revision]
+    is_awaited: bool
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/dragonflyshelf/runtime/store/watch.py
+++ b/dragonflyshelf/runtime/store/watch.py
@@ -16,7 +16,10 @@
 """Seconds before a failed call is repeated for the first time."""
 
 BACKOFF_LONGEST = 0.8
-"""Seconds between repeats of a call that goes on failing."""
+"""Seconds between repeats of a failing call on which others wait."""
+
+BACKOFF_LONGEST_ALONE = 5.0
+"""Seconds between repeats of a failing call of one instance alone."""
 
 EVENT_PAUSE = 0.08
 """Seconds in which changes of busy kinds gather for one call."""
@@ -35,10 +38,14 @@
         self._config = config
         self._control = control
         self._running: set[asyncio.Task[None]] = set()
+        self._longest_backoff = BACKOFF_LONGEST
 
     @task.handles(messages.WatchKinds)
     def _on_watch(self, message: messages.WatchKinds) -> None:
         self._cancel()
+        self._longest_backoff = (
+            BACKOFF_LONGEST if message.is_awaited else BACKOFF_LONGEST_ALONE
+        )
         for kind, since in message.revisions_by_kind.items():
             running = asyncio.create_task(self._async_follow(kind, since))
             self._running.add(running)
@@ -73,7 +80,7 @@
                     failed = store.StoreFailed(kind=kind, error=error)
                     self._control.post(failed)
                     await asyncio.sleep(backoff * random.uniform(0.7, 1.0))
-                    backoff = min(backoff * 2, BACKOFF_LONGEST)
+                    backoff = min(backoff * 2, self._longest_backoff)
         finally:
             calls.close()
 
--- a/tests/core/grantor/world.py
+++ b/tests/core/grantor/world.py
@@ -193,6 +193,8 @@
             sharded=True,
         )
         self.give(candidate, messages.ServicesChanged(services=(service,)))
+        counted = messages.InstancesCounted(count=len(self.candidates))
+        self.give(candidate, counted)
         self._poll(candidate)
         self._tick(candidate)
 
--- a/tests/core/scheduling/test_coordinator.py
+++ b/tests/core/scheduling/test_coordinator.py
@@ -106,6 +106,8 @@
     def test_leader_is_silent(self) -> None:
         """A small part of the rate is used without the leader."""
         world = self.world()
+        names = tuple(ids.InstanceId(f"i{n}") for n in range(8))
+        world.run(scheduling.InstancesChanged(instances=names))
         first = world.request()
         second = world.request()
         world.advance(0.2)
--- a/tests/core/upstreams/test_state.py
+++ b/tests/core/upstreams/test_state.py
@@ -124,3 +124,25 @@
         found = ramp.sponsors(life, names)
         assert found == ramp.sponsors(life, reversed(names))
         assert len(found) == ramp.SPONSORS
+
+    def test_instance_that_knows_of_nobody(self) -> None:
+        """An instance that has just started may not be a sponsor."""
+        made = ramp.ColdRamp(ids.InstanceId("i1"))
+        assert not made.has_token(ids.UpstreamLife("u1@1"), 6.0, NOW)
+
+    def test_instances_that_come_back_one_by_one(self) -> None:
+        """A sum of sponsors holds while the list of instances grows."""
+        life = ids.UpstreamLife("u1@1")
+        names = [ids.InstanceId(f"i{number}") for number in range(60)]
+        ramps = {name: ramp.ColdRamp(name) for name in names}
+        rate = 6.0
+        sent = 0
+        for step in range(200):
+            now = ids.Instant(NOW + step / 100)
+            known = tuple(names[: 10 + step // 4])
+            for one in ramps.values():
+                one.set_instances(known)
+                if one.has_token(life, rate, now):
+                    one.take(life, rate, now)
+                    sent += 1
+        assert sent <= 2 * (rate * 1.5 + 8)
