--- a/dragonflyshelf/core/quota/const.py
+++ b/dragonflyshelf/core/quota/const.py
@@ -11,6 +11,12 @@
 FALLBACK_PART: Final = 0.5
 """Part of a rate that all instances together use without a leader."""
 
+FALLBACK_LIFE: Final = 5.0
+"""Seconds without use after which the fixed part begins anew.
+
+A part below one token would otherwise fill up to one at every instance.
+"""
+
 FIRST_LEVEL: Final = 0.3
 """Part of a burst that a new home of tokens starts with."""
 
@@ -35,5 +41,11 @@
 RELAY_WAIT_LIFE: Final = 0.5
 """Seconds after which a member has long gone on without an answer."""
 
+SHORTEST_WAIT: Final = 0.05
+"""Seconds after which a borrower that got nothing may ask again.
+
+A workspace over its rate would else ask with each of its requests.
+"""
+
 STOCK_LIFE: Final = 1.0
 """Seconds after which tokens that were not used are lost."""
--- a/dragonflyshelf/core/quota/lender.py
+++ b/dragonflyshelf/core/quota/lender.py
@@ -66,7 +66,10 @@
         return messages.LendTokens(
             workspace=borrow.workspace,
             tokens=given,
-            wait=min(found.seconds_to_token(now), const.LONGEST_WAIT),
+            wait=min(
+                max(found.seconds_to_token(now), const.SHORTEST_WAIT),
+                const.LONGEST_WAIT,
+            ),
         )
 
     def _bucket(
--- a/dragonflyshelf/core/quota/limiter.py
+++ b/dragonflyshelf/core/quota/limiter.py
@@ -31,7 +31,8 @@
     tokens: int = 0
     borrowed_at: ids.Instant = ids.Instant(0.0)
     asked_at: ids.Instant | None = None
-    is_overdue: bool = False
+    fallback_at: ids.Instant = ids.Instant(0.0)
+    fallback_taken: int = 0
     empty_until: ids.Instant = ids.Instant(0.0)
     demanded: demand.Demand = dataclasses.field(default_factory=demand.Demand)
     fallback: bucket.TokenBucket | None = None
@@ -100,6 +101,7 @@
         self, workspace: ids.WorkspaceId, stock: Stock, now: ids.Instant
     ) -> Verdict:
         if self._fallback(workspace, stock, now).take(now):
+            stock.fallback_taken += 1
             return Verdict.ADMITTED
         return Verdict.OVER
 
@@ -127,21 +129,17 @@
     def lent(self, lend: messages.LendTokens, now: ids.Instant) -> None:
         """Take in the answer to a borrowing.
 
-        One that comes late is lost: those who waited for it have gone
-        on with the fixed part.
+        What was taken from the fixed part before a late answer came is
+        subtracted, as the leading instance has not reckoned with it.
         """
         stock = self._stocks_by_workspace.get(lend.workspace)
         if stock is None:
             return
         self._leader_is_silent = False
-        is_late = stock.is_overdue
-        stock.is_overdue = False
         stock.asked_at = None
-        stock.fallback = None
-        if is_late:
-            return
         stock.expire(now)
-        stock.tokens += lend.tokens
+        stock.tokens += max(lend.tokens - stock.fallback_taken, 0)
+        stock.fallback_taken = 0
         if lend.tokens:
             stock.borrowed_at = now
         else:
@@ -158,7 +156,6 @@
         if now - stock.asked_at < const.LEADER_SILENCE:
             return False
         self._leader_is_silent = True
-        stock.is_overdue = True
         return True
 
     def give_back(self, workspace: ids.WorkspaceId) -> None:
@@ -189,7 +186,9 @@
     def _fallback(
         self, workspace: ids.WorkspaceId, stock: Stock, now: ids.Instant
     ) -> bucket.TokenBucket:
-        if stock.fallback is None:
+        is_old = now - stock.fallback_at > const.FALLBACK_LIFE
+        stock.fallback_at = now
+        if stock.fallback is None or is_old:
             one = self._workspaces_by_name[workspace]
             part = const.FALLBACK_PART / self._instances
             stock.fallback = bucket.TokenBucket(
--- a/dragonflyshelf/core/relay/sources.py
+++ b/dragonflyshelf/core/relay/sources.py
@@ -8,7 +8,9 @@
 from dragonflyshelf.core.store import messages as store
 
 EVERY_KIND: Final = frozenset(store.ObjectKind)
-FRESHNESS_KIND: Final = frozenset({store.ObjectKind.CONFIGURATION})
+FRESHNESS_KINDS: Final = frozenset(
+    {store.ObjectKind.CONFIGURATION, store.ObjectKind.CONTROL}
+)
 LEASE_KIND: Final = frozenset({store.ObjectKind.CONTROL})
 NO_KIND: Final[frozenset[store.ObjectKind]] = frozenset()
 WRITTEN_BY_OTHERS: Final = EVERY_KIND - LEASE_KIND
@@ -35,8 +37,8 @@
     A leader watches all but the kind that it writes, and a follower that
     hears nothing watches all; the others would only pay for calls that
     the leader makes already. A follower whose copy grows old watches the
-    configuration. An instance that has just started looks for a leader
-    first.
+    configuration and the lease. An instance that has just started looks
+    for a leader first.
     """
 
     def __init__(self) -> None:
@@ -76,7 +78,10 @@
 
         Its copies grow old when it does not reach the store. A relay
         then tries for its members; they try later, if it has not helped.
+        The lease shows whether another leads that reaches the store.
         """
         if age > (DIRECT_AFTER if is_relay else MEMBER_DIRECT_AFTER):
             self._beside_until = ids.Instant(now + DIRECT_FOR)
-        return FRESHNESS_KIND if now < self._beside_until else NO_KIND
+        if now < self._beside_until:
+            return FRESHNESS_KINDS
+        return NO_KIND
--- a/dragonflyshelf/runtime/callers/connection.py
+++ b/dragonflyshelf/runtime/callers/connection.py
@@ -150,7 +150,7 @@
         if self._exchanges or self._lingering:
             return
         if self._timer.wait is waits.Wait.IDLE:
-            self._linger()
+            self._stop()
 
     @task.handles(runtime_messages.Attached)
     def _on_attached(self, message: runtime_messages.Attached) -> None:
@@ -408,7 +408,8 @@
 
     @WAIT_ENDS.register(waits.Wait.IDLE)
     def _end_idle(self) -> None:
-        self._linger()
+        """Close at once: a request that crosses is reset, not swallowed."""
+        self._stop()
 
     @WAIT_ENDS.register(waits.Wait.LINGER)
     def _end_linger(self) -> None:
--- a/dragonflyshelf/runtime/log_stream.py
+++ b/dragonflyshelf/runtime/log_stream.py
@@ -67,6 +67,10 @@
     def flush(self) -> None:
         """Do nothing: a handler flushes after each line."""
 
+    def close(self) -> None:
+        """Write what the reader takes; the descriptor stays open."""
+        self.drain()
+
     def _schedule(self) -> None:
         """Write soon, or at once where no loop runs."""
         if self._timer is not None:
--- a/tests/core/quota/test_limits.py
+++ b/tests/core/quota/test_limits.py
@@ -145,16 +145,52 @@
         assert admitted <= (rate * 5 + rate) * 1.1 + 20
 
     def test_late_answer(self) -> None:
-        """Tokens that come after the fixed part was used are lost."""
+        """What the fixed part has given is subtracted from late tokens."""
         one = limiter.WorkspaceLimiter()
         one.set_workspaces((workspace(),))
-        one.take(ONE, ids.Instant(10.0))
-        one.wanted(ONE, 1, ids.Instant(10.0))
+        one.set_instances(INSTANCES)
+        for _ in range(2):
+            one.take(ONE, ids.Instant(10.0))
+        one.wanted(ONE, 2, ids.Instant(10.0))
         assert one.overdue(ONE, ids.Instant(10.11))
-        lend = messages.LendTokens(workspace=ONE, tokens=5, wait=0.0)
+        assert all(one.retake(ONE, ids.Instant(10.11)) for _ in range(2))
+        lend = messages.LendTokens(workspace=ONE, tokens=3, wait=0.0)
         one.lent(lend, ids.Instant(10.12))
-        verdict = one.take(ONE, ids.Instant(10.13))
-        assert verdict is limiter.Verdict.BORROWING
+        verdicts = [one.take(ONE, ids.Instant(10.13)) for _ in range(2)]
+        assert verdicts == [
+            limiter.Verdict.ADMITTED,
+            limiter.Verdict.BORROWING,
+        ]
+
+    @pytest.mark.parametrize("seconds", [0.05, 0.15])
+    def test_slow_leader(self, seconds: float) -> None:
+        """A leader that answers late still lends what it has."""
+        home = lender.TokenLender()
+        home.set_workspaces((workspace(),), ids.Instant(10.0))
+        one = limiter.WorkspaceLimiter()
+        one.set_workspaces((workspace(),))
+        one.set_instances(INSTANCES)
+        answers: list[tuple[float, messages.LendTokens]] = []
+        waiting = admitted = 0
+        steps = 2000
+        for step in range(steps):
+            now = ids.Instant(10.0 + step / 100)
+            while answers and answers[0][0] <= now:
+                one.lent(answers.pop(0)[1], now)
+            if step % 5 == 0:
+                verdict = one.take(ONE, now)
+                admitted += verdict is limiter.Verdict.ADMITTED
+                waiting += verdict is limiter.Verdict.BORROWING
+            wanted = one.wanted(ONE, waiting, now)
+            if wanted is not None:
+                answers.append((now + seconds, home.lend(wanted, now)))
+            if waiting and one.overdue(ONE, now):
+                admitted += one.retake(ONE, now)
+                waiting = 0
+            while waiting and one.retake(ONE, now):
+                admitted += 1
+                waiting -= 1
+        assert admitted >= steps / 5 * 0.8
 
     def test_lowered_limit(self) -> None:
         """A lowered rate binds at once."""
--- a/tests/core/relay/test_relay.py
+++ b/tests/core/relay/test_relay.py
@@ -320,8 +320,9 @@
         """Updates that are not fresh do not keep a follower waiting.
 
         Relays look for their members first, and only for what decides
-        whether requests are refused.
+        whether requests are refused and whether another instance leads.
         """
+        assert sources.LEASE_KIND < sources.FRESHNESS_KINDS
         chooser = sources.SourceChooser()
         chooser.start(at(0.0))
         chooser.updated(at(5.0))
@@ -329,13 +330,13 @@
         wanted = chooser.wanted(False, False, age, at(5.1))
         assert wanted == sources.NO_KIND
         wanted = chooser.wanted(False, True, age, at(5.1))
-        assert wanted == sources.FRESHNESS_KIND
+        assert wanted == sources.FRESHNESS_KINDS
         age = sources.MEMBER_DIRECT_AFTER + 0.1
         wanted = chooser.wanted(False, False, age, at(6.8))
         assert wanted == sources.EVERY_KIND
         chooser.updated(at(7.6))
         wanted = chooser.wanted(False, False, age, at(7.6))
-        assert wanted == sources.FRESHNESS_KIND
+        assert wanted == sources.FRESHNESS_KINDS
 
     def test_start(self) -> None:
         """Only the lease is read until a leader is heard, or nobody is."""
--- a/tests/runtime/callers/test_connection.py
+++ b/tests/runtime/callers/test_connection.py
@@ -622,6 +622,19 @@
 
         asyncio.run(async_run())
 
+    def test_request_crosses_the_idle_end(self) -> None:
+        """It is not read and dropped: the connection is gone at once."""
+
+        async def async_run() -> None:
+            async with fakes.async_front(idle_timeout=0.05) as front:
+                async with front.async_client() as client:
+                    assert await client.async_rest() == b""
+                    await asyncio.sleep(0.1)
+                    assert front.listener.connections == 0
+                    assert not front.router
+
+        asyncio.run(async_run())
+
     def test_pipeline_bound(self) -> None:
         """Requests behind a running one are read up to a bound."""
 
--- a/tests/runtime/test_log_stream.py
+++ b/tests/runtime/test_log_stream.py
@@ -39,6 +39,18 @@
         assert read.decode() == "".join(lines)
 
 
+class TestEnd:
+    """The end of a process writes what waits."""
+
+    def test_handler_is_closed(self) -> None:
+        """A handler closes its stream; the last line is written."""
+        reading, writing = os.pipe()
+        handler = logging.StreamHandler(log_stream.LogStream(writing))
+        handler.stream.write("last\n")
+        handler.stream.close()
+        assert os.read(reading, 100) == b"last\n"
+
+
 class TestVolume:
     """A burst of lines is cut, warnings are not."""
 
