--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -210,7 +210,8 @@
     :param instances: instances of an episode
     :param logs: folder for the logs of instances, kept after the run
     """
-    bad = []
+    broken: list[int] = []
+    not_played: list[int] = []
     for seed in range(first, first + count):
         print(f"seed {seed}")
         with tempfile.TemporaryDirectory() as temporary:
@@ -218,11 +219,21 @@
             if logs is not None:
                 folder = logs / f"seed-{seed}"
                 folder.mkdir(parents=True, exist_ok=True)
-            found = asyncio.run(async_play(seed, seconds, instances, folder))
+            try:
+                found = asyncio.run(
+                    async_play(seed, seconds, instances, folder)
+                )
+            except TimeoutError as error:
+                print(f"not played: {error}")
+                not_played.append(seed)
+                continue
         if report(found):
-            bad.append(seed)
-    print(f"{count} episodes, broken: {bad or 'none'}")
-    sys.exit(1 if bad else 0)
+            broken.append(seed)
+    print(
+        f"{count} episodes, broken: {broken or 'none'},"
+        f" not played: {not_played or 'none'}"
+    )
+    sys.exit(1 if broken or not_played else 0)
 
 
 if __name__ == "__main__":
