--- /dev/null
+++ b/tests/runtime/callers/test_answers.py
@@ -0,0 +1,279 @@
+"""Tests of answers to callers, and of callers that go."""
+
+import asyncio
+
+import pytest
+
+from dragonflyshelf.core import errors
+from dragonflyshelf.core import messages
+from dragonflyshelf.core import states
+from tests.runtime.callers import fakes
+from tests.runtime.callers import wires
+
+
+class TestAnswer:
+    """Answers reach their own caller, whole or visibly broken."""
+
+    def test_head_method(self) -> None:
+        """The answer to HEAD has a length and no body."""
+
+        async def async_run() -> None:
+            async with fakes.async_front() as front:
+                async with front.async_client() as client:
+                    client.send(wires.GET.replace(b"GET", b"HEAD"))
+                    fakes.answer(await front.async_arrival(), b"abc")
+                    found = await client.async_until(b"\r\n\r\n")
+                    assert b"content-length: 3\r\n" in found.lower()
+                    await front.async_end()
+                    client.send(wires.GET)
+                    fakes.answer(await front.async_arrival(), b"next")
+                    found = await client.async_until(b"next")
+                    assert found.startswith(b"HTTP/1.1 200 ")
+
+        asyncio.run(async_run())
+
+    def test_head_refused(self) -> None:
+        """A refusal of HEAD has no body either."""
+
+        async def async_run() -> None:
+            async with fakes.async_front() as front:
+                async with front.async_client() as client:
+                    client.send(
+                        b"HEAD /a HTTP/1.1\r\nHost: a\r\n"
+                        b"X-Deadline-Ms: x\r\n\r\n"
+                    )
+                    found = await client.async_rest()
+                    assert found.startswith(b"HTTP/1.1 400 ")
+                    assert found.endswith(b"\r\n\r\n")
+
+        asyncio.run(async_run())
+
+    def test_version_1_0(self) -> None:
+        """A caller of HTTP/1.0 gets no chunks and an end."""
+
+        async def async_run() -> None:
+            async with fakes.async_front() as front:
+                async with front.async_client() as client:
+                    client.send(b"GET /a HTTP/1.0\r\n\r\n")
+                    arrival = await front.async_arrival()
+                    arrival.origin.post(
+                        messages.AnswerHead(
+                            exchange=arrival.exchange,
+                            status=200,
+                            reason=b"OK",
+                            headers=(),
+                        )
+                    )
+                    arrival.origin.post(
+                        messages.AnswerChunk(
+                            exchange=arrival.exchange, data=b"abc"
+                        )
+                    )
+                    arrival.origin.post(
+                        messages.AnswerEnd(exchange=arrival.exchange)
+                    )
+                    found = await client.async_rest()
+                    assert found.endswith(b"\r\n\r\nabc")
+                    assert b"chunked" not in found.lower()
+
+        asyncio.run(async_run())
+
+    def test_crossed(self) -> None:
+        """An answer to another exchange reaches nobody."""
+
+        async def async_run() -> None:
+            async with fakes.async_front() as front:
+                async with front.async_client() as client:
+                    client.send(wires.GET + wires.GET)
+                    first = await front.async_arrival()
+                    second = await front.async_arrival()
+                    fakes.answer(first, b"one")
+                    await front.async_end()
+                    fakes.answer(first, b"late")
+                    fakes.answer(second, b"two")
+                    found = await client.async_until(b"two")
+                    assert b"late" not in found
+
+        asyncio.run(async_run())
+
+    def test_pipelined_answers_keep_their_order(self) -> None:
+        """A later request that is answered first waits for its turn."""
+
+        async def async_run() -> None:
+            async with fakes.async_front() as front:
+                async with front.async_client() as client:
+                    client.send(wires.GET + wires.GET)
+                    first = await front.async_arrival()
+                    second = await front.async_arrival()
+                    fakes.answer(second, b"two")
+                    fakes.answer(first, b"one")
+                    found = await client.async_until(b"two")
+                    assert found.index(b"one") < found.index(b"two")
+
+        asyncio.run(async_run())
+
+    def test_order_waits_for_earlier_requests(self) -> None:
+        """What may have an effect is not sent ahead of its turn."""
+
+        async def async_run() -> None:
+            async with fakes.async_front() as front:
+                async with front.async_client() as client:
+                    client.send(
+                        wires.GET + wires.POST + b"Content-Length: 0\r\n\r\n"
+                    )
+                    first = await front.async_arrival()
+                    await asyncio.sleep(0.05)
+                    assert not front.router
+                    fakes.answer(first, b"one")
+                    await front.async_end()
+                    second = await front.async_arrival()
+                    assert second.head.method == b"POST"
+
+        asyncio.run(async_run())
+
+    def test_cut(self) -> None:
+        """An answer that breaks off breaks the connection."""
+
+        async def async_run() -> None:
+            async with fakes.async_front() as front:
+                async with front.async_client() as client:
+                    client.send(wires.GET)
+                    arrival = await front.async_arrival()
+                    arrival.origin.post(
+                        messages.AnswerHead(
+                            exchange=arrival.exchange,
+                            status=200,
+                            reason=b"OK",
+                            headers=(),
+                        )
+                    )
+                    arrival.origin.post(
+                        messages.AnswerChunk(
+                            exchange=arrival.exchange, data=b"abc"
+                        )
+                    )
+                    await client.async_until(b"abc")
+                    arrival.origin.post(
+                        messages.AnswerFailed(
+                            exchange=arrival.exchange,
+                            error=errors.UpstreamFailed("cut"),
+                        )
+                    )
+                    with pytest.raises(ConnectionResetError):
+                        await client.async_rest()
+
+        asyncio.run(async_run())
+
+    def test_before_body_ends(self) -> None:
+        """An early answer arrives whole while body is still unread."""
+        size = 4 * 1024 * 1024
+
+        async def async_run() -> None:
+            async with fakes.async_front(window_bytes=4096) as front:
+                async with front.async_client() as client:
+                    client.send(
+                        wires.POST + b"Content-Length: %d\r\n\r\n" % size
+                    )
+                    client.send(bytes(size // 8))
+                    arrival = await front.async_arrival()
+                    fakes.answer(arrival, b"x" * 100000)
+                    found = await client.async_rest()
+                    assert found.endswith(b"x" * 100000)
+                    assert b"connection: close\r\n" in found.lower()
+
+        asyncio.run(async_run())
+
+    def test_deadline(self) -> None:
+        """A request that nobody answers is ended by its deadline."""
+
+        async def async_run() -> None:
+            async with fakes.async_front(deadline=0.01) as front:
+                async with front.async_client() as client:
+                    client.send(wires.GET)
+                    await front.async_arrival()
+                    status, body = wires.split(await client.async_until(b"}"))
+                    assert status == 504
+                    assert body["outcome"] == states.Outcome.UNKNOWN.value
+                    assert (await front.async_end()).cancelled
+
+        asyncio.run(async_run())
+
+    def test_slow_reader(self) -> None:
+        """A caller that does not read holds back the upstream."""
+
+        async def async_run() -> None:
+            async with fakes.async_front() as front:
+                async with front.async_client() as client:
+                    client.send(wires.POST + b"Content-Length: 1\r\n\r\na")
+                    arrival = await front.async_arrival()
+                    front.attach(arrival)
+                    assert await front.async_body() == b"a"
+                    size = 16 * 1024 * 1024
+                    number = arrival.exchange
+                    arrival.origin.post(fakes.answer_head(arrival, size))
+                    arrival.origin.post(
+                        messages.AnswerChunk(exchange=number, data=bytes(size))
+                    )
+                    await client.async_until(b"\r\n\r\n")
+                    assert not front.target
+                    arrival.origin.post(messages.AnswerEnd(exchange=number))
+                    total = 0
+                    while total < size:
+                        total += len(await client.reader.read(fakes.CHUNK))
+                    assert total == size
+
+        asyncio.run(async_run())
+
+
+class TestCallerGone:
+    """A caller that goes away cancels its request."""
+
+    def test_close(self) -> None:
+        """The end of the connection ends the exchange."""
+
+        async def async_run() -> None:
+            async with fakes.async_front() as front:
+                async with front.async_client() as client:
+                    client.send(wires.GET)
+                    await front.async_arrival()
+                assert (await front.async_end()).cancelled
+
+        asyncio.run(async_run())
+
+    def test_half_close(self) -> None:
+        """A caller that still reads is told that it is not known."""
+
+        async def async_run() -> None:
+            async with fakes.async_front() as front:
+                async with front.async_client() as client:
+                    client.send(wires.GET)
+                    client.writer.write_eof()
+                    status, body = wires.split(await client.async_rest())
+                    assert status == 400
+                    assert body["code"] == errors.CallerGone.code
+                    assert body["outcome"] == states.Outcome.UNKNOWN.value
+                    await front.async_arrival()
+                    assert (await front.async_end()).cancelled
+
+        asyncio.run(async_run())
+
+    def test_half_close_while_answering(self) -> None:
+        """An answer that has begun goes on to its end."""
+
+        async def async_run() -> None:
+            async with fakes.async_front() as front:
+                async with front.async_client() as client:
+                    client.send(wires.GET)
+                    arrival = await front.async_arrival()
+                    arrival.origin.post(fakes.answer_head(arrival, 3))
+                    await client.async_until(b"\r\n\r\n")
+                    client.writer.write_eof()
+                    number = arrival.exchange
+                    arrival.origin.post(
+                        messages.AnswerChunk(exchange=number, data=b"abc")
+                    )
+                    arrival.origin.post(messages.AnswerEnd(exchange=number))
+                    assert await client.async_rest() == b"abc"
+                    assert not (await front.async_end()).cancelled
+
+        asyncio.run(async_run())
--- /dev/null
+++ b/tests/runtime/callers/wires.py
@@ -0,0 +1,26 @@
+"""Bytes that callers send, and what comes back."""
+
+import json
+
+from dragonflyshelf.core import states
+from tests.runtime.callers import fakes
+
+GET = b"GET /letters/1 HTTP/1.1\r\nHost: a\r\n\r\n"
+POST = b"POST /orders/1 HTTP/1.1\r\nHost: a\r\n"
+
+
+def split(answer: bytes) -> tuple[int, dict[str, str]]:
+    """Return the status and the JSON body of one refusal."""
+    head, _, body = answer.partition(b"\r\n\r\n")
+    return int(head.split(b" ")[1]), json.loads(body)
+
+
+async def async_refusal(raw: bytes, **values: int) -> tuple[int, str]:
+    """Send bytes and return status and code; nothing may be routed."""
+    async with fakes.async_front(**values) as front:
+        async with front.async_client() as client:
+            client.send(raw)
+            status, body = split(await client.async_rest())
+            assert body["outcome"] == states.Outcome.NOT_RUN.value
+            assert not front.router
+            return status, body["code"]
