--- a/dragonflyshelf/core/scheduling/coordinator.py
+++ b/dragonflyshelf/core/scheduling/coordinator.py
@@ -11,6 +11,7 @@
 from dragonflyshelf.core import registry
 from dragonflyshelf.core.routing import split
 from dragonflyshelf.core.routing import table
+from dragonflyshelf.core.scheduling import admission
 from dragonflyshelf.core.scheduling import budget
 from dragonflyshelf.core.scheduling import const
 from dragonflyshelf.core.scheduling import exchanges
@@ -46,7 +47,7 @@
         self._config = config
         self.table: table.RouteTable | None = None
         self.confirmed_at = ids.Instant(float("-inf"))
-        self.limiter = limiter.WorkspaceLimiter()
+        self.tokens = admission.TokenQueue()
         self.budget = budget.RetryBudget(config.retries)
         self.fleet = fleet.Fleet(config.instance)
         self.placement = placement.Placement(self.fleet)
@@ -55,9 +56,6 @@
         self.paces = paces.PaceTally()
         self._split = split.WeightedSplit()
         self.exchanges_by_id: dict[ids.ExchangeId, exchanges.Exchange] = {}
-        self._borrowing_by_workspace: dict[
-            ids.WorkspaceId, list[ids.ExchangeId]
-        ] = {}
         self._deadlines: list[tuple[ids.Instant, ids.ExchangeId]] = []
         self._paused: list[tuple[ids.Instant, ids.ExchangeId]] = []
 
@@ -68,7 +66,7 @@
     def wake_at(self, now: ids.Instant) -> ids.Instant:
         """Return when ``TimePassed`` is wanted next."""
         wake = NEVER
-        if self.placement.has_waiting or self._borrowing_by_workspace:
+        if self.placement.has_waiting or self.tokens.has_waiting:
             wake = ids.Instant(now + const.TICK)
         for heap in (self._deadlines, self._paused):
             if heap:
@@ -137,66 +135,36 @@
     ) -> Effects:
         workspace = exchange.workspace
         assert workspace is not None
-        verdict = self.limiter.take(workspace, now)
+        verdict = self.tokens.take(exchange.id, workspace, now)
         if verdict is limiter.Verdict.OVER:
-            return self._refuse_rate(exchange, workspace, now)
+            return self._refuse(exchange, self.tokens.error(workspace, now))
         effects: Effects = []
         if verdict is limiter.Verdict.ADMITTED:
             exchange.has_token = True
             effects.extend(self._accept(exchange, now))
         else:
             exchange.phase = Phase.BORROWING
-            waiting = self._borrowing_by_workspace.setdefault(workspace, [])
-            waiting.append(exchange.id)
-        return [*effects, *self._borrow(workspace, now)]
-
-    def _borrow(self, workspace: ids.WorkspaceId, now: ids.Instant) -> Effects:
-        waiting = self._borrowing_by_workspace.get(workspace, [])
-        wanted = self.limiter.wanted(workspace, len(waiting), now)
-        return [wanted] if wanted is not None else []
-
-    def _refuse_rate(
-        self,
-        exchange: exchanges.Exchange,
-        workspace: ids.WorkspaceId,
-        now: ids.Instant,
-    ) -> Effects:
-        wait = self.limiter.wait_for(workspace, now)
-        error = errors.RateExceeded(
-            f"workspace {workspace} is over its rate:"
-            f" {self.limiter.describe(workspace)}",
-            retry_after=retries.retry_after(wait),
-        )
-        return self._refuse(exchange, error)
+        wanted = self.tokens.wanted(workspace, now)
+        return [*effects, wanted] if wanted is not None else effects
 
     @HANDLERS.register(quota.LendTokens)
     def _on_lent(self, event: quota.LendTokens, now: ids.Instant) -> Effects:
-        self.limiter.lent(event, now)
-        return self._serve_borrowing(event.workspace, now)
+        return self._go_on(self.tokens.lent(event, now), now)
 
-    def _serve_borrowing(
-        self, workspace: ids.WorkspaceId, now: ids.Instant
+    def _go_on(
+        self, decided: abc.Iterable[admission.Decided], now: ids.Instant
     ) -> Effects:
-        """Admit those who wait for tokens, as far as there are some."""
-        waiting = self._borrowing_by_workspace.pop(workspace, [])
+        """Accept or refuse those who have waited for tokens."""
         effects: Effects = []
-        for name in waiting:
-            exchange = self.exchanges_by_id.get(name)
-            if exchange is None or exchange.phase is not Phase.BORROWING:
-                continue
-            if self.limiter.retake(workspace, now):
+        for one in decided:
+            exchange = self.exchanges_by_id[one.exchange]
+            assert exchange.workspace is not None
+            if one.is_admitted:
                 exchange.has_token = True
                 effects.extend(self._accept(exchange, now))
             else:
-                effects.extend(self._refuse_rate(exchange, workspace, now))
-        return effects
-
-    def _end_overdue(self, now: ids.Instant) -> Effects:
-        """Go on without a leading instance that does not answer."""
-        effects: Effects = []
-        for workspace in list(self._borrowing_by_workspace):
-            if self.limiter.overdue(workspace, now):
-                effects.extend(self._serve_borrowing(workspace, now))
+                error = self.tokens.error(exchange.workspace, now)
+                effects.extend(self._refuse(exchange, error))
         return effects
 
     @HANDLERS.register(messages.AttemptFinished)
@@ -316,7 +284,7 @@
         """Return the token of a request that did not run."""
         if exchange.has_token and exchange.workspace is not None:
             exchange.has_token = False
-            self.limiter.give_back(exchange.workspace)
+            self.tokens.limiter.give_back(exchange.workspace)
 
     @HANDLERS.register(messages.ExchangeFinished)
     def _on_exchange_finished(
@@ -336,6 +304,8 @@
         exchange.phase = Phase.DONE
         if phase is Phase.QUEUED:
             self.placement.remove(exchange)
+        if phase is Phase.BORROWING and exchange.workspace is not None:
+            self.tokens.forget(exchange.id, exchange.workspace)
         if phase is not Phase.SENT or exchange.upstream is None:
             return []
         exchange.upstream.finish(
@@ -357,7 +327,7 @@
             exchange = self.exchanges_by_id.get(name)
             if exchange is not None and exchange.phase is Phase.PAUSED:
                 effects.extend(self._place(exchange, now))
-        effects.extend(self._end_overdue(now))
+        effects.extend(self._go_on(self.tokens.end_overdue(now), now))
         for name in self.placement.take_expired(now):
             effects.extend(self._end_expired(name, now))
         for service in self.fleet.service_names():
@@ -394,7 +364,7 @@
         if known and known.configuration.version >= configuration.version:
             return []
         self.table = table.RouteTable(configuration)
-        self.limiter.set_workspaces(configuration.workspaces)
+        self.tokens.limiter.set_workspaces(configuration.workspaces)
         self.fleet.set_services(configuration.services)
         return []
 
@@ -439,7 +409,7 @@
     def _on_instances(
         self, event: messages.InstancesChanged, now: ids.Instant
     ) -> Effects:
-        self.limiter.set_instances(len(event.instances))
+        self.tokens.limiter.set_instances(len(event.instances))
         self.budget.set_instances(len(event.instances))
         self.fleet.ramp.set_instances(event.instances)
         return []
