--- a/tests/core/quota/test_limits.py
+++ b/tests/core/quota/test_limits.py
@@ -192,6 +192,25 @@
                 waiting -= 1
         assert admitted >= steps / 5 * 0.8
 
+    def test_leader_is_heard_again(self) -> None:
+        """After a silence a request now and then is enough to find it.
+
+        With many instances each sees too little of any workspace to
+        borrow ahead.
+        """
+        one = limiter.WorkspaceLimiter()
+        one.set_workspaces((workspace(),))
+        one.set_instances(64)
+        one.take(ONE, ids.Instant(10.0))
+        one.wanted(ONE, 1, ids.Instant(10.0))
+        assert one.overdue(ONE, ids.Instant(10.0 + 0.2))
+        assert one.take(ONE, ids.Instant(11.0)) is limiter.Verdict.OVER
+        probe = one.wanted(ONE, 0, ids.Instant(11.0))
+        assert probe is not None
+        lend = messages.LendTokens(workspace=ONE, tokens=1, wait=0.0)
+        one.lent(lend, ids.Instant(11.01))
+        assert one.take(ONE, ids.Instant(11.02)) is limiter.Verdict.ADMITTED
+
     def test_lowered_limit(self) -> None:
         """A lowered rate binds at once."""
         fleet = Fleet()
