Put one constant where the others are, and look at members without a copy

A relay asked whether it has members by making a tuple of all their names for each borrowed token, and twice a tick; it now stops at the first. The time of a takeover was kept and never read.

--- a/dragonflyshelf/core/grantor/lease.py
+++ b/dragonflyshelf/core/grantor/lease.py
@@ -51,7 +51,6 @@
         self._writing: messages.WriteControl | None = None
         self._resigned = False
         self.role = Role.FOLLOWING
-        self.took_over_at = NEVER
         self.predecessor_until = NEVER
         digest = xxhash.xxh64_intdigest(
             f"{own.holder}/{own.incarnation}".encode()
@@ -130,8 +129,6 @@
             self.role = Role.FOLLOWING
             return
         self._renewed_at = max(self._renewed_at, event.sent_at)
-        if self.role is Role.FOLLOWING:
-            self.took_over_at = now
         self.role = Role.LEADING
 
     def tick(self, now: ids.Instant) -> messages.WriteControl | None:
--- a/dragonflyshelf/core/quota/const.py
+++ b/dragonflyshelf/core/quota/const.py
@@ -35,6 +35,9 @@
 PROBE_INTERVAL: Final = 0.2
 """Seconds between borrowings from a leader that does not answer."""
 
+PROBE_TOKENS: Final = 1
+"""Tokens for which a leader that was silent is asked, whatever the demand."""
+
 RELAY_STOCK_LIFE: Final = 0.3
 """Seconds after which tokens that no member has taken are lost."""
 
--- a/dragonflyshelf/core/quota/limiter.py
+++ b/dragonflyshelf/core/quota/limiter.py
@@ -15,9 +15,6 @@
 from dragonflyshelf.core.quota import messages
 from dragonflyshelf.core.routing import objects
 
-PROBE_TOKENS = 1
-"""Tokens for which a leader that was silent is asked, whatever the demand."""
-
 
 class Verdict(enum.Enum):
     """Whether a request has its token."""
@@ -124,7 +121,7 @@
             return None
         ahead = stock.demanded.ahead(now)
         if self._leader_is_silent:
-            ahead = max(ahead, PROBE_TOKENS)
+            ahead = max(ahead, const.PROBE_TOKENS)
         if not waiting and stock.tokens * 2 >= ahead:
             return None
         tokens = min(waiting + ahead, const.MOST_BORROWED)
--- a/dragonflyshelf/core/relay/followers.py
+++ b/dragonflyshelf/core/relay/followers.py
@@ -110,6 +110,13 @@
             if now - one.asked_at <= ASK_SILENCE
         )
 
+    def has_members(self, now: ids.Instant) -> bool:
+        """Tell whether any instance asks this one at present."""
+        return any(
+            now - one.asked_at <= ASK_SILENCE
+            for one in self._followers_by_link.values()
+        )
+
     def with_loads_of_members(
         self, own: tuple[grantor.RangeLoad, ...], now: ids.Instant
     ) -> tuple[grantor.RangeLoad, ...]:
--- a/dragonflyshelf/runtime/gateway/control.py
+++ b/dragonflyshelf/runtime/gateway/control.py
@@ -329,11 +329,9 @@
 
     def _choose_source(self) -> None:
         """Watch in the store what no other instance tells."""
+        is_relay = self._relaying.is_relay(self.now)
         wanted = self._chooser.wanted(
-            self.is_leading,
-            self._relaying.is_relay(self.now),
-            self.age,
-            self.now,
+            self.is_leading, is_relay, self.age, self.now
         )
         if wanted == self._watched:
             return
@@ -350,8 +348,7 @@
                     for kind in Kind
                     if kind in wanted
                 },
-                is_awaited=self.is_leading
-                or self._relaying.is_relay(self.now),
+                is_awaited=self.is_leading or is_relay,
             )
         )
 
--- a/dragonflyshelf/runtime/gateway/relaying.py
+++ b/dragonflyshelf/runtime/gateway/relaying.py
@@ -77,7 +77,7 @@
 
     def is_relay(self, now: ids.Instant) -> bool:
         """Tell whether other instances ask this one."""
-        return bool(self.followers.members(now))
+        return self.followers.has_members(now)
 
     def check(self, age: float, now: ids.Instant) -> None:
         """Leave a relay that is silent or tells nothing fresh."""
