Say in the logs where a change came from and how old it was

Now: fields "source" and "age" with configuration, leader and leaving upstreams; lines "leader is X", "upstreams leaving" and "control task was late", all known to explain; a histogram of tick delays and gauges of the confirmation's age by kind. "store regained" only after a call to the store.

--- a/dragonflyshelf/core/timeline/explanation.py
+++ b/dragonflyshelf/core/timeline/explanation.py
@@ -11,13 +11,16 @@
 
 STATE_CHANGE_PREFIXES: Final = (
     "configuration ",
+    "control task was late",
     "evacuated data centres",
+    "leader is ",
     "leadership ",
     "plan of ",
     "relay at ",
     "settings reloaded",
     "store lost",
     "store regained",
+    "upstreams leaving",
     "watched in the store",
 )
 """Beginnings of the log messages that report a state change."""
--- a/dragonflyshelf/runtime/gateway/control.py
+++ b/dragonflyshelf/runtime/gateway/control.py
@@ -30,6 +30,7 @@
 from dragonflyshelf.core.upstreams import service_times
 from dragonflyshelf.runtime.callers import messages as callers
 from dragonflyshelf.runtime.gateway import decoding
+from dragonflyshelf.runtime.gateway import diagnostics
 from dragonflyshelf.runtime.gateway import relay_coordinator
 from dragonflyshelf.runtime.gateway import router
 from dragonflyshelf.runtime import inbox
@@ -112,6 +113,10 @@
         self._next_measurement_at = ids.Instant(0.0)
         self._service_times = service_times.DecayingServiceTimes()
         self._lost_kinds: set[Kind] = set()
+        self._source = diagnostics.Source.STORE
+        self._tick_monitor = diagnostics.TickMonitor(TICK_INTERVAL_SECONDS)
+        self._leader_log = diagnostics.LeaderLog()
+        self._upstream_log = diagnostics.UpstreamLog()
         self.task_inboxes: TaskInboxes | None = None
         self.is_draining = False
 
@@ -123,9 +128,11 @@
     @property
     def configuration_age(self) -> float:
         """Return the seconds since the configuration was confirmed."""
-        return (
-            self.now - self._replica.by_kind(Kind.CONFIGURATION).confirmed_at
-        )
+        return self._age(Kind.CONFIGURATION)
+
+    def _age(self, kind: Kind) -> float:
+        """Return the seconds since a kind was confirmed."""
+        return self.now - self._replica.by_kind(kind).confirmed_at
 
     @property
     def is_ready(self) -> bool:
@@ -149,6 +156,7 @@
     @task.handles(Tick)
     def _on_tick(self, message: Tick) -> None:
         self.post_later(TICK_INTERVAL_SECONDS, message)
+        self._record_lateness()
         self._handle_event(grantor.TimePassed())
         self._relay_coordinator.check_relay(self.configuration_age, self.now)
         self._update_watches()
@@ -156,17 +164,35 @@
         if self.is_leading:
             self._request_own_load_if_due()
 
+    def _record_lateness(self) -> None:
+        self._tick_monitor.record(len(self.inbox), self.now)
+        for kind in Kind:
+            diagnostics.CONFIRMATION_AGE.labels(kind.value).set(
+                self._age(kind)
+            )
+
     @task.handles(store.KindListed)
     def _on_kind_listed(self, message: store.KindListed) -> None:
         self._mark_store_regained(message.kind)
-        self._publish_changes(message.kind, self._replica.apply_list(message))
+        self._apply(message, diagnostics.Source.STORE)
 
     @task.handles(store.KindChanged)
     def _on_kind_changed(self, message: store.KindChanged) -> None:
         self._mark_store_regained(message.kind)
-        self._publish_changes(
-            message.kind, self._replica.apply_changes(message)
-        )
+        self._apply(message, diagnostics.Source.STORE)
+
+    def _apply(
+        self,
+        event: store.KindListed | store.KindChanged,
+        source: diagnostics.Source,
+    ) -> None:
+        """Apply an event to the replica and publish what it changed."""
+        self._source = source
+        if isinstance(event, store.KindListed):
+            changes = self._replica.apply_list(event)
+        else:
+            changes = self._replica.apply_changes(event)
+        self._publish_changes(event.kind, changes)
 
     @task.handles(store.StoreCallFailed)
     def _on_store_call_failed(self, message: store.StoreCallFailed) -> None:
@@ -225,13 +251,18 @@
             )
         )
         if change.name == LEASE_OBJECT_NAME:
+            self._leader_log.record(
+                value, self._source, self._age(Kind.CONTROL)
+            )
             if self._relay_coordinator.update_lease(value):
                 self._next_request_at = self.now
 
     @PUBLISHERS.register(Kind.CONFIGURATION)
     def _publish_configuration(self) -> None:
         for configuration in self._decoded_objects.values(Kind.CONFIGURATION):
-            _LOGGER.info("configuration %d in force", configuration.version)
+            diagnostics.log_configuration(
+                configuration, self._source, self.configuration_age
+            )
             self._inboxes.router.post(
                 scheduling.ConfigurationChanged(configuration=configuration)
             )
@@ -267,6 +298,9 @@
     @PUBLISHERS.register(Kind.REGISTRATION)
     def _publish_registrations(self) -> None:
         registrations = self._decoded_objects.values(Kind.REGISTRATION)
+        self._upstream_log.record(
+            registrations, self._source, self._age(Kind.REGISTRATION)
+        )
         event = upstream_events.RegistrationsChanged(
             registrations=registrations
         )
@@ -433,10 +467,7 @@
         for event in self._relay_coordinator.apply_update(
             message.update, self.now
         ):
-            if isinstance(event, store.KindListed):
-                self._on_kind_listed(event)
-            else:
-                self._on_kind_changed(event)
+            self._apply(event, diagnostics.Source.UPDATE)
         if message.update.instances:
             self._instances = message.update.instances
             self._publish_instances(message.update.instances)
--- a/dragonflyshelf/runtime/logs.py
+++ b/dragonflyshelf/runtime/logs.py
@@ -17,6 +17,7 @@
 from dragonflyshelf.runtime import log_stream
 
 EXTRA_FIELD_NAMES: Final = (
+    "age",
     "code",
     "cut_connections",
     "cut_requests",
@@ -25,6 +26,7 @@
     "request_id",
     "seconds",
     "service",
+    "source",
     "status",
     "step",
 )
