Follow a leader only as long as it renews its lease

Callers saw: requests reached upstreams that had said they were leaving, and a confirmed change was not in force in time, on sites with 65 and 69 instances (DRAIN, CONFIG). Cause: a leader that alone has lost the store goes on answering update requests. Its followers took that for a sound source until their configuration was 2.2 s (relay) or 2.5 s (member) old, which is as late as the promise itself, and watched configuration and control then, not the registrations. With few instances this is hidden: each tries to take the lease over within 0.3 s and learns of the new leader from the conflict; with 65 these tries are spread over 2.4 s. Now: the age of the lease decides. Over the lease's duration a follower watches the lease, 0.3 s later all kinds; a member of a relay allows 0.5 s more. Why this works: the age counts from the sending of the renewal, over any number of hops, so it cannot look valid without the store.

--- a/dragonflyshelf/core/relay/watch_selector.py
+++ b/dragonflyshelf/core/relay/watch_selector.py
@@ -1,9 +1,11 @@
 """Selection of the kinds that are watched in the store directly."""
 
 from collections import abc
+import dataclasses
 from typing import Final
 
 from dragonflyshelf.core import ids
+from dragonflyshelf.core import settings
 from dragonflyshelf.core.store import messages as store
 
 ALL_KINDS: Final = frozenset(store.ObjectKind)
@@ -44,22 +46,51 @@
 UPDATE_TIMEOUT_SECONDS: Final = 0.9
 """Seconds without an update after which its source counts as lost."""
 
+RELAY_DELAY_SECONDS: Final = 0.5
+"""Time by which the lease known through a relay is older."""
+
+TAKEOVER_SECONDS: Final = 0.3
+"""Seconds after the end of a lease in which another instance acquires it.
+
+After that the lease alone does not help, as it may stay without a holder.
+"""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ReplicaState:
+    """Role of this instance, and ages in seconds of what it replicates.
+
+    ``lease_age`` is the time since the lease was confirmed. It shows how
+    long ago the leader could reach the store. ``is_relay`` is set if others
+    follow this instance, ``uses_relay`` if it follows a relay itself.
+    """
+
+    is_leading: bool = False
+    is_relay: bool = False
+    uses_relay: bool = False
+    configuration_age: float
+    lease_age: float
+
 
 class WatchSelector:
     """Selects the kinds that an instance watches in the store.
 
     The leader watches all kinds except the one that it writes; a follower
     that receives no updates watches all. Other followers watch none, as
-    that would repeat calls that the leader makes already. A follower
-    whose replica is too old watches the configuration and the lease. An
-    instance that has just started watches the lease to find a leader.
+    that would repeat calls that the leader makes already. A follower of a
+    leader that no longer renews its lease watches the lease, and then all
+    kinds: such a leader does not see changes either. A follower whose
+    replica is too old watches the configuration and the lease. An instance
+    that has just started watches the lease to find a leader.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, config: settings.LeadershipSettings) -> None:
         """Create a selector that has received no update."""
+        self._config = config
         self._updated_at = ids.Instant(0.0)
         self._watch_all_until = ids.Instant(0.0)
         self._freshness_watch_until = ids.Instant(0.0)
+        self._lease_watch_until = ids.Instant(0.0)
         self._has_update = False
 
     def start(self, now: ids.Instant) -> None:
@@ -74,21 +105,35 @@
         self._has_update = True
 
     def select_kinds(
-        self, is_leading: bool, is_relay: bool, age: float, now: ids.Instant
+        self, state: ReplicaState, now: ids.Instant
     ) -> abc.Set[store.ObjectKind]:
-        """Return the kinds to watch; ``age`` is that of the configuration."""
-        if is_leading or now - self._updated_at > UPDATE_TIMEOUT_SECONDS:
+        """Return the kinds to watch."""
+        if state.is_leading or self._is_source_lost(state, now):
             self._watch_all_until = ids.Instant(now + MIN_DIRECT_WATCH_SECONDS)
-        if is_leading:
+        if state.is_leading:
             return LEADER_WATCHED_KINDS
         if now < self._watch_all_until:
             return ALL_KINDS
         if not self._has_update:
             return LEASE_KINDS
-        return self._kinds_with_updates(is_relay, age, now)
+        return self._kinds_with_updates(state, now)
+
+    def _is_source_lost(self, state: ReplicaState, now: ids.Instant) -> bool:
+        """Return whether updates are missing or come from a former leader."""
+        if now - self._updated_at > UPDATE_TIMEOUT_SECONDS:
+            return True
+        overdue_seconds = self._lease_overdue_seconds(state)
+        return self._has_update and overdue_seconds > TAKEOVER_SECONDS
+
+    def _lease_overdue_seconds(self, state: ReplicaState) -> float:
+        """Return for how long the lease may have ended; negative if valid."""
+        max_age = self._config.lease
+        if state.uses_relay:
+            max_age += RELAY_DELAY_SECONDS
+        return state.lease_age - max_age
 
     def _kinds_with_updates(
-        self, is_relay: bool, age: float, now: ids.Instant
+        self, state: ReplicaState, now: ids.Instant
     ) -> abc.Set[store.ObjectKind]:
         """Return the kinds to watch while updates are received.
 
@@ -97,14 +142,16 @@
         has not helped. The lease shows whether another instance, which
         can reach the store, has become leader.
         """
-        if age > (
-            RELAY_DIRECT_WATCH_AGE_SECONDS
-            if is_relay
-            else MEMBER_DIRECT_WATCH_AGE_SECONDS
-        ):
-            self._freshness_watch_until = ids.Instant(
-                now + MIN_DIRECT_WATCH_SECONDS
-            )
+        watch_until = ids.Instant(now + MIN_DIRECT_WATCH_SECONDS)
+        if self._lease_overdue_seconds(state) > 0:
+            self._lease_watch_until = watch_until
+        max_age = MEMBER_DIRECT_WATCH_AGE_SECONDS
+        if state.is_relay:
+            max_age = RELAY_DIRECT_WATCH_AGE_SECONDS
+        if state.configuration_age > max_age:
+            self._freshness_watch_until = watch_until
         if now < self._freshness_watch_until:
             return FRESHNESS_KINDS
+        if now < self._lease_watch_until:
+            return LEASE_KINDS
         return NO_KINDS
--- a/dragonflyshelf/runtime/gateway/control.py
+++ b/dragonflyshelf/runtime/gateway/control.py
@@ -106,7 +106,7 @@
         self._relay_coordinator = relay_coordinator.RelayCoordinator(
             config, own_lease, self._replica
         )
-        self._watch_selector = watch_selector.WatchSelector()
+        self._watch_selector = watch_selector.WatchSelector(config.leadership)
         self._watched_kinds: abc.Set[Kind] = watch_selector.NO_KINDS
         self._instances: tuple[ids.InstanceId, ...] = ()
         self._next_request_at = ids.Instant(0.0)
@@ -146,6 +146,10 @@
         """Return whether this instance is the leader."""
         return self._grantor.is_leading
 
+    def known_values(self, kind: Kind) -> tuple[Any, ...]:
+        """Return the decoded objects of a kind as this instance has them."""
+        return self._decoded_objects.values(kind)
+
     def start_ticking(self) -> None:
         """Connect the relay coordinator and start the periodic tick."""
         self._relay_coordinator.router = self._inboxes.router
@@ -407,9 +411,14 @@
     def _update_watches(self) -> None:
         """Watch the kinds in the store for which no updates are received."""
         is_relay = self._relay_coordinator.is_relay(self.now)
-        kinds = self._watch_selector.select_kinds(
-            self.is_leading, is_relay, self.configuration_age, self.now
+        state = watch_selector.ReplicaState(
+            is_leading=self.is_leading,
+            is_relay=is_relay,
+            uses_relay=self._relay_coordinator.uses_relay,
+            configuration_age=self.configuration_age,
+            lease_age=self._age(Kind.CONTROL),
         )
+        kinds = self._watch_selector.select_kinds(state, self.now)
         if kinds == self._watched_kinds:
             return
         self._watched_kinds = kinds
--- a/dragonflyshelf/runtime/gateway/relay_coordinator.py
+++ b/dragonflyshelf/runtime/gateway/relay_coordinator.py
@@ -86,6 +86,11 @@
         assert self.client is not None
         self.client.post(message)
 
+    @property
+    def uses_relay(self) -> bool:
+        """Return whether this instance follows a relay."""
+        return self._relay_selector.uses_relay
+
     def is_relay(self, now: ids.Instant) -> bool:
         """Return whether other instances follow this one."""
         return self.followers.has_members(now)
--- a/tests/core/relay/test_relay.py
+++ b/tests/core/relay/test_relay.py
@@ -29,6 +29,9 @@
 )
 
 
+LEADERSHIP = settings.LeadershipSettings()
+
+
 def address(name: str) -> addresses.Address:
     """Return the relay address of an instance."""
     return addresses.Address(host=name, port=7100)
@@ -327,26 +330,40 @@
         )
 
 
+def make_watch_selector() -> watch_selector.WatchSelector:
+    """Return a selector with the usual lease."""
+    return watch_selector.WatchSelector(LEADERSHIP)
+
+
+def make_state(
+    age: float, lease_age: float = 0.5, **values: bool
+) -> watch_selector.ReplicaState:
+    """Return a state whose configuration has an age in seconds."""
+    return watch_selector.ReplicaState(
+        configuration_age=age, lease_age=lease_age, **values
+    )
+
+
 class TestWatchSelector:
     """Selection of the kinds to watch in the store."""
 
     def test_fresh_follower_makes_no_call(self) -> None:
         """A follower with fresh updates does not watch the store."""
-        selector = watch_selector.WatchSelector()
+        selector = make_watch_selector()
         selector.start(at(0.0))
         for tenth in range(1, 50):
             selector.record_update(at(tenth / 10))
-            kinds = selector.select_kinds(False, False, 1.0, at(tenth / 10))
+            kinds = selector.select_kinds(make_state(age=1.0), at(tenth / 10))
         assert kinds == watch_selector.NO_KINDS
 
     def test_silent_leader(self) -> None:
         """Without updates the store is watched within a second."""
-        selector = watch_selector.WatchSelector()
+        selector = make_watch_selector()
         selector.start(at(0.0))
         selector.record_update(at(5.0))
-        kinds = selector.select_kinds(False, False, 1.0, at(5.8))
+        kinds = selector.select_kinds(make_state(age=1.0), at(5.8))
         assert kinds == watch_selector.NO_KINDS
-        kinds = selector.select_kinds(False, False, 1.0, at(6.0))
+        kinds = selector.select_kinds(make_state(age=1.0), at(6.0))
         assert kinds == watch_selector.ALL_KINDS
 
     def test_leader_without_store(self) -> None:
@@ -356,56 +373,114 @@
         decide whether requests are refused and which instance leads.
         """
         assert watch_selector.LEASE_KINDS < watch_selector.FRESHNESS_KINDS
-        selector = watch_selector.WatchSelector()
+        selector = make_watch_selector()
         selector.start(at(0.0))
         selector.record_update(at(5.0))
         age = watch_selector.RELAY_DIRECT_WATCH_AGE_SECONDS + 0.1
-        kinds = selector.select_kinds(False, False, age, at(5.1))
+        kinds = selector.select_kinds(make_state(age=age), at(5.1))
         assert kinds == watch_selector.NO_KINDS
-        kinds = selector.select_kinds(False, True, age, at(5.1))
+        kinds = selector.select_kinds(
+            make_state(is_relay=True, age=age), at(5.1)
+        )
         assert kinds == watch_selector.FRESHNESS_KINDS
         age = watch_selector.MEMBER_DIRECT_WATCH_AGE_SECONDS + 0.1
-        kinds = selector.select_kinds(False, False, age, at(6.8))
+        kinds = selector.select_kinds(make_state(age=age), at(6.8))
         assert kinds == watch_selector.ALL_KINDS
         selector.record_update(at(7.6))
-        kinds = selector.select_kinds(False, False, age, at(7.6))
+        kinds = selector.select_kinds(make_state(age=age), at(7.6))
         assert kinds == watch_selector.FRESHNESS_KINDS
 
     def test_start(self) -> None:
         """Only the lease is watched until a leader is found or time is up."""
-        selector = watch_selector.WatchSelector()
+        selector = make_watch_selector()
         selector.start(at(5.0))
         unconfirmed = float("inf")
         assert (
-            selector.select_kinds(False, False, unconfirmed, at(5.1))
+            selector.select_kinds(make_state(age=unconfirmed), at(5.1))
             == watch_selector.LEASE_KINDS
         )
         timeout_at = at(5.1 + watch_selector.LEADER_DISCOVERY_SECONDS)
         assert (
-            selector.select_kinds(False, False, unconfirmed, timeout_at)
+            selector.select_kinds(make_state(age=unconfirmed), timeout_at)
             == watch_selector.ALL_KINDS
         )
 
     def test_start_with_a_leader(self) -> None:
         """A started instance that receives updates watches nothing."""
-        selector = watch_selector.WatchSelector()
+        selector = make_watch_selector()
         selector.start(at(5.0))
         selector.record_update(at(5.2))
         assert (
-            selector.select_kinds(False, False, 0.3, at(5.3))
+            selector.select_kinds(make_state(age=0.3), at(5.3))
             == watch_selector.NO_KINDS
         )
 
     def test_leader_skips_the_kind_it_writes(self) -> None:
         """The leader does not watch the kind that it writes."""
-        selector = watch_selector.WatchSelector()
+        selector = make_watch_selector()
         selector.start(at(0.0))
-        kinds = selector.select_kinds(True, False, 0.1, at(50.0))
+        kinds = selector.select_kinds(
+            make_state(is_leading=True, age=0.1), at(50.0)
+        )
         assert kinds == watch_selector.LEADER_WATCHED_KINDS
 
     def test_leader(self) -> None:
         """The leader watches the store whatever the age."""
-        selector = watch_selector.WatchSelector()
+        selector = make_watch_selector()
         selector.start(at(0.0))
-        kinds = selector.select_kinds(True, True, 9.0, at(50.0))
+        kinds = selector.select_kinds(
+            make_state(is_leading=True, is_relay=True, age=9.0), at(50.0)
+        )
         assert kinds == watch_selector.LEADER_WATCHED_KINDS
+
+
+class TestLeaderThatLostTheStore:
+    """A leader that no longer renews its lease is not relied upon."""
+
+    def make_selector(self) -> watch_selector.WatchSelector:
+        """Return the selector of a follower that just got an update."""
+        selector = make_watch_selector()
+        selector.start(at(0.0))
+        selector.record_update(at(5.0))
+        return selector
+
+    def test_lease_that_is_renewed(self) -> None:
+        """A follower watches nothing while the lease is valid."""
+        state = make_state(age=2.1, lease_age=LEADERSHIP.lease - 0.1)
+        kinds = self.make_selector().select_kinds(state, at(5.1))
+        assert kinds == watch_selector.NO_KINDS
+
+    def test_lease_that_has_ended(self) -> None:
+        """The lease is watched first, as another may take it any moment."""
+        state = make_state(age=0.5, lease_age=LEADERSHIP.lease + 0.1)
+        kinds = self.make_selector().select_kinds(state, at(5.1))
+        assert kinds == watch_selector.LEASE_KINDS
+
+    def test_drain_under_a_refused_leader(self) -> None:
+        """DRAIN: then all kinds are watched, registrations too."""
+        lease_age = LEADERSHIP.lease + watch_selector.TAKEOVER_SECONDS + 0.1
+        state = make_state(age=0.5, lease_age=lease_age)
+        kinds = self.make_selector().select_kinds(state, at(5.1))
+        assert kinds == watch_selector.ALL_KINDS
+
+    def test_member_of_a_relay(self) -> None:
+        """A member allows for the time that its relay takes."""
+        selector = self.make_selector()
+        lease_age = LEADERSHIP.lease + watch_selector.RELAY_DELAY_SECONDS
+        for excess, kinds in (
+            (-0.1, watch_selector.NO_KINDS),
+            (0.1, watch_selector.LEASE_KINDS),
+            (0.4, watch_selector.ALL_KINDS),
+        ):
+            state = make_state(
+                age=0.5, lease_age=lease_age + excess, uses_relay=True
+            )
+            assert selector.select_kinds(state, at(5.1)) == kinds
+
+    def test_new_leader(self) -> None:
+        """With a lease that is renewed again the watches end."""
+        selector = self.make_selector()
+        selector.select_kinds(make_state(age=0.5, lease_age=2.0), at(5.1))
+        selector.record_update(at(6.0))
+        kinds = selector.select_kinds(make_state(age=0.5), at(6.0))
+        assert kinds == watch_selector.NO_KINDS
--- a/tests/runtime/deployment.py
+++ b/tests/runtime/deployment.py
@@ -5,6 +5,7 @@
 import dataclasses
 import socket
 
+from bench.soak import proxy
 from dragonflyshelf.core import ids
 from dragonflyshelf.core import settings
 from dragonflyshelf.runtime.gateway import server
@@ -46,6 +47,7 @@
     """Running instances with a stand-in store and stand-in upstreams."""
 
     store: store.StoreServer
+    store_proxies: list[proxy.LoopbackProxy]
     upstreams: list[upstream.UpstreamServer]
     servers: list[server.Server]
 
@@ -73,6 +75,16 @@
                 headers=(("host", "a.b"), *request_headers.items()),
             )
 
+    def drain_upstream(self, index: int) -> None:
+        """Let an upstream register that it is leaving."""
+        upstream_server = self.upstreams[index]
+        registration = upstream_server.make_registration(HOST, "a")
+        registration["State"] = "draining"
+        self.store.objects.replace(
+            "servers", upstream_server.name, registration, None
+        )
+        self.store.notify_watches()
+
     def store_configuration(
         self, version: int, caller_keys: list[str]
     ) -> None:
@@ -109,13 +121,21 @@
             )
             upstreams.append(upstream_server)
         servers = []
+        store_proxies = []
         for instance_index in range(instance_count):
-            config = make_settings(f"i{instance_index}", store_server.port)
+            store_proxy = await stack.enter_async_context(
+                proxy.async_run_proxy(store_server.port)
+            )
+            store_proxies.append(store_proxy)
+            config = make_settings(f"i{instance_index}", store_proxy.port)
             servers.append(
                 await stack.enter_async_context(
                     server.async_run_server(config)
                 )
             )
         yield Deployment(
-            store=store_server, upstreams=upstreams, servers=servers
+            store=store_server,
+            store_proxies=store_proxies,
+            upstreams=upstreams,
+            servers=servers,
         )
