Confirm the replica often enough for two hops

Callers saw: nothing by itself; but followers that look into the store although leader and store are sound take processor time and calls from the work that keeps changes in time, and a watch that has hung was noticed after 3 s, later than DrainS. Cause: a confirmation counts from the sending of a watch of 0.8 s, so it is 1.6 s old before the next; each hop adds 0.5 s. Members act at 2.5 s and relays at 2.2 s, within the usual range of a busy fleet. Registrations and evacuations were watched for 2 s, and their silence ended after 3 s. The new test gives 2.4 of 2.2 s for a relay and 2.9 of 2.5 s for a member before, 1.8 and 2.3 s after. Now: the configuration is watched for 0.5 s, the others for 0.8 s. Only the leader watches, so this adds 2 calls a second to a deployment.

--- a/dragonflyshelf/core/settings.py
+++ b/dragonflyshelf/core/settings.py
@@ -126,8 +126,8 @@
 
     address: str = ""
     call_timeout: Annotated[float, DURATION_RANGE] = 1.0
-    watch_wait: Annotated[float, DURATION_RANGE] = 0.8
-    slow_watch_wait: Annotated[float, DURATION_RANGE] = 2.0
+    watch_wait: Annotated[float, DURATION_RANGE] = 0.5
+    slow_watch_wait: Annotated[float, DURATION_RANGE] = 0.8
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/tests/core/relay/test_relay.py
+++ b/tests/core/relay/test_relay.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+import pytest
+
 from dragonflyshelf.core import addresses
 from dragonflyshelf.core.grantor import messages as grantor
 from dragonflyshelf.core.grantor import objects as lease_objects
@@ -484,3 +486,27 @@
         selector.record_update(at(6.0))
         kinds = selector.select_kinds(make_state(age=0.5), at(6.0))
         assert kinds == watch_selector.NO_KINDS
+
+
+class TestAgesUnderASoundLeader:
+    """Followers of a leader that reaches the store make no calls."""
+
+    SLOW_PROCESS_SECONDS = 0.3
+    """Time that instances with little processor time add."""
+
+    @pytest.mark.parametrize(
+        ("hop_count", "max_age"),
+        [
+            (1, watch_selector.RELAY_DIRECT_WATCH_AGE_SECONDS),
+            (2, watch_selector.MEMBER_DIRECT_WATCH_AGE_SECONDS),
+        ],
+    )
+    def test_oldest_confirmation(self, hop_count: int, max_age: float) -> None:
+        """Repeated direct watches on blixt-gw-grown, store and leader sound.
+
+        A confirmation counts from the sending of its call, so it is two
+        waits old when the next one arrives.
+        """
+        oldest = 2 * settings.StoreSettings().watch_wait
+        oldest += hop_count * watch_selector.RELAY_DELAY_SECONDS
+        assert oldest + self.SLOW_PROCESS_SECONDS < max_age
