--- a/dragonflyshelf/runtime/store/watch.py
+++ b/dragonflyshelf/runtime/store/watch.py
@@ -9,18 +9,10 @@
 from dragonflyshelf.core.store import messages as store
 from dragonflyshelf.platform import store as client
 from dragonflyshelf.runtime import inbox
+from dragonflyshelf.runtime.store import backoff
 from dragonflyshelf.runtime.store import messages
 from dragonflyshelf.runtime import task
 
-INITIAL_BACKOFF_SECONDS = 0.15
-"""Seconds before the first retry of a failed call."""
-
-MAX_BACKOFF_SECONDS = 0.8
-"""Longest delay between retries if followers wait for the objects."""
-
-MAX_BACKOFF_WITHOUT_FOLLOWERS_SECONDS = 5.0
-"""Longest delay between retries if there are no followers."""
-
 BATCH_DELAY_SECONDS = 0.08
 """Seconds to wait before watching a busy kind again, to batch changes."""
 
@@ -38,23 +30,29 @@
         super().__init__("store-watch")
         self._config = config
         self._control_inbox = control_inbox
-        self._watch_tasks: set[asyncio.Task[None]] = set()
-        self._max_backoff_seconds = MAX_BACKOFF_SECONDS
+        self._watch_tasks_by_kind: dict[
+            store.ObjectKind, asyncio.Task[None]
+        ] = {}
+        self._has_followers = False
 
     @task.handles(messages.WatchKinds)
     def _on_watch_kinds(self, message: messages.WatchKinds) -> None:
-        self._cancel()
-        self._max_backoff_seconds = (
-            MAX_BACKOFF_SECONDS
-            if message.has_followers
-            else MAX_BACKOFF_WITHOUT_FOLLOWERS_SECONDS
-        )
+        """Start the watches that are missing; the others go on.
+
+        If followers begin to wait for the objects, all watches start anew,
+        as some may be in a long delay after failures.
+        """
+        if message.has_followers and not self._has_followers:
+            self._cancel()
+        self._has_followers = message.has_followers
+        for kind in set(self._watch_tasks_by_kind):
+            if kind not in message.revisions_by_kind:
+                self._watch_tasks_by_kind.pop(kind).cancel()
         for kind, revision in message.revisions_by_kind.items():
-            watch_task = asyncio.create_task(
-                self._async_watch_kind(kind, revision)
-            )
-            self._watch_tasks.add(watch_task)
-            watch_task.add_done_callback(self._watch_tasks.discard)
+            if kind not in self._watch_tasks_by_kind:
+                self._watch_tasks_by_kind[kind] = asyncio.create_task(
+                    self._async_watch_kind(kind, revision)
+                )
 
     @task.handles(messages.StopWatching)
     def _on_stop_watching(self, message: messages.StopWatching) -> None:
@@ -65,33 +63,30 @@
         self._cancel()
 
     def _cancel(self) -> None:
-        for watch_task in self._watch_tasks:
+        for watch_task in self._watch_tasks_by_kind.values():
             watch_task.cancel()
+        self._watch_tasks_by_kind.clear()
 
     async def _async_watch_kind(
         self, kind: store.ObjectKind, revision: ids.Revision
     ) -> None:
         """List a kind if needed, and watch it until cancelled."""
         store_client = client.StoreClient(self._config)
-        backoff_seconds = INITIAL_BACKOFF_SECONDS
+        failure_backoff = backoff.Backoff(kind)
         try:
             while True:
                 try:
                     revision = await self._async_list_or_watch(
                         store_client, kind, revision
                     )
-                    backoff_seconds = INITIAL_BACKOFF_SECONDS
+                    failure_backoff.reset()
                 except errors.WatchExpired:
                     revision = ids.Revision(0)
                 except errors.RouterError as error:
                     failure = store.StoreCallFailed(kind=kind, error=error)
                     self._control_inbox.post(failure)
-                    await asyncio.sleep(
-                        backoff_seconds * random.uniform(0.7, 1.0)
-                    )
-                    backoff_seconds = min(
-                        backoff_seconds * 2, self._max_backoff_seconds
-                    )
+                    delay = failure_backoff.next_delay(self._has_followers)
+                    await asyncio.sleep(delay * random.uniform(0.7, 1.0))
         finally:
             store_client.close()
 
--- /dev/null
+++ b/tests/runtime/store/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the tasks that read and write the store."""
--- /dev/null
+++ b/tests/runtime/store/test_watch.py
@@ -0,0 +1,89 @@
+"""Tests of the task that watches the store, against a stand-in store."""
+
+import asyncio
+from collections import abc
+import contextlib
+
+from dragonflyshelf.core import ids
+from dragonflyshelf.core import settings
+from dragonflyshelf.core.store import messages as store
+from dragonflyshelf.runtime import inbox
+from dragonflyshelf.runtime.store import messages
+from dragonflyshelf.runtime.store import watch
+from stand_ins import store as stand_in
+
+Kind = store.ObjectKind
+TIMEOUT_SECONDS = 5.0
+
+
+def watch_kinds(
+    *kinds: Kind, has_followers: bool = False
+) -> messages.WatchKinds:
+    """Return the message to watch kinds that are not known yet."""
+    return messages.WatchKinds(
+        revisions_by_kind={kind: ids.Revision(0) for kind in kinds},
+        has_followers=has_followers,
+    )
+
+
+@contextlib.asynccontextmanager
+async def async_run_watch() -> (
+    abc.AsyncIterator[
+        tuple[stand_in.StoreServer, watch.StoreWatchTask, inbox.Inbox]
+    ]
+):
+    """Run the task; its events arrive in the inbox."""
+    async with stand_in.async_run_store() as store_server:
+        events = inbox.Inbox("events")
+        config = settings.StoreSettings(
+            address=f"127.0.0.1:{store_server.port}"
+        )
+        watch_task = watch.StoreWatchTask(config, events)
+        async with watch_task.async_running():
+            yield store_server, watch_task, events
+
+
+async def async_next_listed(events: inbox.Inbox) -> Kind:
+    """Return the kind that is listed next."""
+    async with asyncio.timeout(TIMEOUT_SECONDS):
+        while True:
+            await events.async_wait()
+            event = events.pop()
+            if isinstance(event, store.KindListed):
+                return event.kind
+
+
+class TestStoreWatchTask:
+    """Watches that start, go on and end."""
+
+    def test_further_kinds(self) -> None:
+        """A watch that goes on is not listed again."""
+
+        async def async_check() -> None:
+            async with async_run_watch() as (_, watch_task, events):
+                watch_task.inbox.post(watch_kinds(Kind.CONTROL))
+                assert await async_next_listed(events) is Kind.CONTROL
+                watch_task.inbox.post(
+                    watch_kinds(Kind.CONTROL, Kind.REGISTRATION)
+                )
+                assert await async_next_listed(events) is Kind.REGISTRATION
+
+        asyncio.run(async_check())
+
+    def test_new_leader_after_failures(self) -> None:
+        """A new leader does not sit out the delay of its former failures."""
+
+        async def async_check() -> None:
+            async with async_run_watch() as (server, watch_task, events):
+                server.injection.fault = stand_in.Fault.BUSY
+                watch_task.inbox.post(watch_kinds(Kind.CONFIGURATION))
+                await asyncio.sleep(2.0)
+                server.injection.fault = stand_in.Fault.NONE
+                watch_task.inbox.post(
+                    watch_kinds(Kind.CONFIGURATION, has_followers=True)
+                )
+                async with asyncio.timeout(0.3):
+                    listed = await async_next_listed(events)
+                assert listed is Kind.CONFIGURATION
+
+        asyncio.run(async_check())
