--- a/dragonflyshelf/runtime/gateway/control.py
+++ b/dragonflyshelf/runtime/gateway/control.py
@@ -263,9 +263,13 @@
 
     @PUBLISHERS.register(Kind.CONFIGURATION)
     def _publish_configuration(self) -> None:
+        size = sum(
+            len(stored.spec)
+            for stored in self._replica.objects(Kind.CONFIGURATION)
+        )
         for configuration in self._decoded_objects.values(Kind.CONFIGURATION):
             diagnostics.log_configuration(
-                configuration, self._source, self.configuration_age
+                configuration, self._source, self.configuration_age, size
             )
             self._inboxes.router.post(
                 scheduling.ConfigurationChanged(configuration=configuration)
--- a/dragonflyshelf/runtime/gateway/diagnostics.py
+++ b/dragonflyshelf/runtime/gateway/diagnostics.py
@@ -48,16 +48,24 @@
 
 
 def log_configuration(
-    configuration: routing.Configuration, source: Source, age: float
+    configuration: routing.Configuration,
+    source: Source,
+    age: float,
+    size: int,
 ) -> None:
     """Log a configuration that is now in force.
 
-    ``age`` is the time since its kind was confirmed, in seconds.
+    ``age`` is the time since its kind was confirmed, in seconds, and
+    ``size`` that of the encoded object, in bytes.
     """
     _LOGGER.info(
         "configuration %d in force",
         configuration.version,
-        extra={"source": source.value, "age": round(age, 3)},
+        extra={
+            "source": source.value,
+            "age": round(age, 3),
+            "bytes": size,
+        },
     )
 
 
--- a/dragonflyshelf/runtime/logs.py
+++ b/dragonflyshelf/runtime/logs.py
@@ -18,6 +18,7 @@
 
 EXTRA_FIELD_NAMES: Final = (
     "age",
+    "bytes",
     "code",
     "cut_connections",
     "cut_requests",
