Don't take an update that was not sent for one that arrived

Cause: the control task notes the revisions of an update as sent when it hands it to the task of the follower, which drops it if the socket is full. The next update, before the follower's next request, leaves the dropped change out but has a newer revision: the follower counts as current and asks for changes after that revision only. The same loss followed an update whose request the follower no longer tracks. Now: changes say after which revision they are complete; a replica ignores those that don't follow on its own. The follower's task returns what it can't send, and asks for an update once the socket takes data again. Frames get the field since; without it, 0, they are read as before.

--- a/dragonflyshelf/codec/relay.capnp
+++ b/dragonflyshelf/codec/relay.capnp
@@ -68,6 +68,7 @@
   age @2 :Float64;
   whole @3 :Bool;
   changes @4 :List(Change);
+  since @5 :UInt64;
 }
 
 struct Update {
--- a/dragonflyshelf/core/relay/followers.py
+++ b/dragonflyshelf/core/relay/followers.py
@@ -11,6 +11,7 @@
 from dragonflyshelf.core.relay import messages
 from dragonflyshelf.core.relay import updates
 from dragonflyshelf.core import settings
+from dragonflyshelf.core.store import messages as store
 from dragonflyshelf.core.store import replica
 
 Link = Any
@@ -88,6 +89,10 @@
             follower.loads = request.loads
             follower.loads_reported_at = now
 
+    def has_link(self, link: Link) -> bool:
+        """Return whether a follower has sent a request on a link."""
+        return link in self._followers_by_link
+
     def remove_link(self, link: Link) -> None:
         """Remove a closed link."""
         self._followers_by_link.pop(link, None)
@@ -171,6 +176,14 @@
         follower.request = _with_sent_revisions(follower.request, update)
         return update
 
+    def record_unsent(self, link: Link, update: messages.Update) -> None:
+        """Record that an update was not sent, so that it is sent again."""
+        follower = self._followers_by_link.get(link)
+        if follower is None:
+            return
+        follower.sent_instances = ()
+        follower.request = _without_unsent_revisions(follower.request, update)
+
     def _select_relay(self, link: Link, now: ids.Instant) -> addresses.Address:
         """Return the relay for a follower in another data centre.
 
@@ -200,10 +213,29 @@
     revision_by_kind = {
         relayed.kind: relayed.revision for relayed in update.kinds
     }
+    return _with_revisions(request, revision_by_kind, max)
+
+
+def _without_unsent_revisions(
+    request: messages.UpdateRequest, update: messages.Update
+) -> messages.UpdateRequest:
+    """Return the request with the revisions from before the update."""
+    revision_by_kind = {
+        relayed.kind: relayed.since for relayed in update.kinds
+    }
+    return _with_revisions(request, revision_by_kind, min)
+
+
+def _with_revisions(
+    request: messages.UpdateRequest,
+    revision_by_kind: abc.Mapping[store.ObjectKind, ids.Revision],
+    select: abc.Callable[[ids.Revision, ids.Revision], ids.Revision],
+) -> messages.UpdateRequest:
+    """Return the request with each revision selected from its two values."""
     known = tuple(
         dataclasses.replace(
             known_revision,
-            revision=max(
+            revision=select(
                 known_revision.revision,
                 revision_by_kind.get(
                     known_revision.kind, known_revision.revision
--- a/dragonflyshelf/core/relay/messages.py
+++ b/dragonflyshelf/core/relay/messages.py
@@ -58,7 +58,7 @@
     ``age`` is the time in seconds from the confirmation of the sender's
     replica to the arrival of the request; it is negative if the replica
     was confirmed after that. If ``whole`` is set, the changes are a full
-    list of the objects.
+    list of the objects, otherwise all after revision ``since``.
     """
 
     kind: store.ObjectKind
@@ -66,6 +66,7 @@
     age: float
     whole: bool
     changes: tuple[RelayedChange, ...]
+    since: ids.Revision = ids.Revision(0)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/dragonflyshelf/core/relay/updates.py
+++ b/dragonflyshelf/core/relay/updates.py
@@ -22,15 +22,15 @@
         if kind_replica.confirmed_at == replica.DISTANT_PAST:
             continue
         is_full = known_revision.revision < kind_replica.removals_known_from
+        since = ids.Revision(0) if is_full else known_revision.revision
         kinds.append(
             messages.RelayedKind(
                 kind=known_revision.kind,
                 revision=kind_replica.revision,
                 age=requested_at - kind_replica.confirmed_at,
                 whole=is_full,
-                changes=_changes_since(
-                    kind_replica, -1 if is_full else known_revision.revision
-                ),
+                changes=_changes_since(kind_replica, -1 if is_full else since),
+                since=since,
             )
         )
     return tuple(kinds)
@@ -88,6 +88,7 @@
         revision=relayed.revision,
         changes=changes,
         confirmed_at=confirmed_at,
+        since=relayed.since,
     )
 
 
--- a/dragonflyshelf/core/store/messages.py
+++ b/dragonflyshelf/core/store/messages.py
@@ -52,7 +52,8 @@
 class KindChanged:
     """Event: changes of a kind up to ``revision``, oldest first.
 
-    ``confirmed_at`` is the latest time, on the clock of this process, at
+    They are complete for a replica that has revision ``since`` or a newer
+    one. ``confirmed_at`` is the latest time, on the clock of this process, at
     which a replica with these changes is known to have been up to date.
     """
 
@@ -60,6 +61,7 @@
     revision: ids.Revision
     changes: tuple[Change, ...]
     confirmed_at: ids.Instant
+    since: ids.Revision = ids.Revision(0)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/dragonflyshelf/core/store/replica.py
+++ b/dragonflyshelf/core/store/replica.py
@@ -78,8 +78,14 @@
     def apply_changes(
         self, event: messages.KindChanged
     ) -> tuple[messages.Change, ...]:
-        """Apply changes; return those that took effect."""
+        """Apply changes; return those that took effect.
+
+        Changes that don't follow on the replica's revision are ignored:
+        those in between got lost and are requested again.
+        """
         kind_replica = self._replicas_by_kind[event.kind]
+        if event.since > kind_replica.revision:
+            return ()
         return self._apply_batch(
             kind_replica, event.changes, event.revision, event.confirmed_at
         )
--- a/dragonflyshelf/platform/store.py
+++ b/dragonflyshelf/platform/store.py
@@ -125,6 +125,7 @@
             revision=ids.Revision(events.revision or since),
             changes=tuple(_to_change(kind, event) for event in events.events),
             confirmed_at=sent_at,
+            since=since,
         )
 
     async def async_write(
--- a/dragonflyshelf/runtime/gateway/control.py
+++ b/dragonflyshelf/runtime/gateway/control.py
@@ -540,6 +540,22 @@
                 grantor.LoadReported(instance=instance, loads=loads)
             )
 
+    @task.handles(relay_messages.UpdateNotSent)
+    def _on_update_not_sent(
+        self, message: relay_messages.UpdateNotSent
+    ) -> None:
+        self._relay_coordinator.followers.record_unsent(
+            message.reply_to, message.update
+        )
+
+    @task.handles(relay_messages.FollowerWritable)
+    def _on_follower_writable(
+        self, message: relay_messages.FollowerWritable
+    ) -> None:
+        self._relay_coordinator.send_update(
+            message.reply_to, self.is_leading, self.now
+        )
+
     @task.handles(relay_messages.FollowerDisconnected)
     def _on_follower_disconnected(
         self, message: relay_messages.FollowerDisconnected
--- a/dragonflyshelf/runtime/gateway/relay_coordinator.py
+++ b/dragonflyshelf/runtime/gateway/relay_coordinator.py
@@ -176,17 +176,22 @@
         if not is_leading:
             self._service_time_tally.add(message.request.paces)
         self.followers.record_request(message.reply_to, message.request, now)
-        self._send_update(message.reply_to, is_leading, now)
+        self.send_update(message.reply_to, is_leading, now)
 
     def send_updates(self, is_leading: bool, now: ids.Instant) -> None:
         """Send each follower the changes that it does not have yet."""
         for link in self.followers:
-            self._send_update(link, is_leading, now)
+            self.send_update(link, is_leading, now)
 
-    def _send_update(
+    def send_update(
         self, link: inbox.Inbox, is_leading: bool, now: ids.Instant
     ) -> None:
-        link.post(self.followers.next_update(link, is_leading, now))
+        """Send a follower the changes that it does not have yet.
+
+        Nothing is sent on a link whose follower has disconnected.
+        """
+        if self.followers.has_link(link):
+            link.post(self.followers.next_update(link, is_leading, now))
 
     def request_tokens(
         self,
--- a/dragonflyshelf/runtime/relay/messages.py
+++ b/dragonflyshelf/runtime/relay/messages.py
@@ -30,6 +30,21 @@
     reply_to: inbox.Inbox
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class UpdateNotSent:
+    """The connection of a follower took no more data than before."""
+
+    update: relay.Update
+    reply_to: inbox.Inbox
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class FollowerWritable:
+    """A connection that took no data takes some again."""
+
+    reply_to: inbox.Inbox
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class SetUpdateSource:
     """Request updates from this address; None to request from no instance."""
--- a/dragonflyshelf/runtime/relay/server.py
+++ b/dragonflyshelf/runtime/relay/server.py
@@ -1,8 +1,10 @@
 """Tasks that serve the followers of this instance."""
 
 import asyncio
+from typing import Final
 
 from absl import logging
+import prometheus_client
 
 from dragonflyshelf.codec import frames
 from dragonflyshelf.codec import relay as codec
@@ -15,6 +17,11 @@
 
 _LOGGER = logging.get_absl_logger()
 
+UNSENT_UPDATES: Final = prometheus_client.Counter(
+    "dragonflyshelf_unsent_updates",
+    "Updates that the connection of a follower did not take",
+)
+
 
 class FollowerTask(task.Task):
     """Owns the connection of a follower."""
@@ -25,6 +32,7 @@
         self._control_inbox = control_inbox
         self._decoder = frames.FrameDecoder(codec.CODEC)
         self._transport: asyncio.Transport | None = None
+        self._unsent_count = 0
 
     @task.handles(sockets.SocketOpened)
     def _on_socket_opened(self, message: sockets.SocketOpened) -> None:
@@ -64,12 +72,21 @@
 
     @task.handles(relay.Update)
     def _on_update(self, message: relay.Update) -> None:
-        if self._transport is None or sockets.is_write_buffer_full(
-            self._transport
-        ):
+        if self._transport is None:
+            return
+        if sockets.is_write_buffer_full(self._transport):
+            self._reject(message)
             return
         self._transport.write(codec.CODEC.encode(message))
 
+    def _reject(self, update: relay.Update) -> None:
+        """Return an update that the follower reads too slowly for."""
+        self._unsent_count += 1
+        UNSENT_UPDATES.inc()
+        self._control_inbox.post(
+            messages.UpdateNotSent(update=update, reply_to=self.inbox)
+        )
+
     @task.handles(sockets.EofReceived)
     def _on_eof_received(self, message: sockets.EofReceived) -> None:
         self.stop()
@@ -84,7 +101,16 @@
 
     @task.handles(sockets.WriteResumed)
     def _on_write_resumed(self, message: sockets.WriteResumed) -> None:
-        """Do nothing; the next update is sent when it is due."""
+        """Request an update in place of those that were not sent."""
+        if not self._unsent_count:
+            return
+        _LOGGER.info(
+            "%d updates waited for a slow follower", self._unsent_count
+        )
+        self._unsent_count = 0
+        self._control_inbox.post(
+            messages.FollowerWritable(reply_to=self.inbox)
+        )
 
     def on_end(self) -> None:
         """Close the socket and notify the control task."""
--- a/tests/core/relay/test_relay.py
+++ b/tests/core/relay/test_relay.py
@@ -104,6 +104,50 @@
         assert objects.object_names(follower) == ["b"]
 
 
+class TestUpdateLostOnTheWay:
+    """A change in an update that got lost reaches the follower later."""
+
+    def send_two_updates(
+        self, follower: replica.Replica
+    ) -> tuple[replica.Replica, messages.Update]:
+        """Return the leader's replica and an update after a lost one."""
+        leader = replica.Replica()
+        leader.apply_list(objects.list_event(5, 1.0, objects.stored("a", 4)))
+        replicate(leader, follower, 10.0, 1.5)
+        collection = followers.Followers(OWN_SETTINGS, leader)
+        collection.record_request("link", make_request(1, 5), at(2.0))
+        leader.apply_changes(
+            objects.change_event(6, 2.1, objects.stored("a", 6, b"draining"))
+        )
+        collection.next_update("link", True, at(2.1))
+        leader.apply_changes(
+            objects.change_event(7, 2.2, objects.stored("b", 7))
+        )
+        return leader, collection.next_update("link", True, at(2.2))
+
+    def test_drain_in_a_lost_update(self) -> None:
+        """The follower doesn't count as current without the lost change."""
+        follower = replica.Replica()
+        leader, second_update = self.send_two_updates(follower)
+        for relayed in second_update.kinds:
+            follower.apply_changes(updates.to_event(relayed, at(11.0)))
+        assert follower.by_kind(KIND).revision == 5
+        replicate(leader, follower, 12.0, 2.5)
+        specs_by_name = {
+            stored.name: stored.spec for stored in follower.objects(KIND)
+        }
+        assert specs_by_name == {"a": b"draining", "b": b"1"}
+
+    def test_age_after_a_lost_update(self) -> None:
+        """The follower's replica gets older until the change arrives."""
+        follower = replica.Replica()
+        _, second_update = self.send_two_updates(follower)
+        confirmed_at = follower.by_kind(KIND).confirmed_at
+        for relayed in second_update.kinds:
+            follower.apply_changes(updates.to_event(relayed, at(11.0)))
+        assert follower.by_kind(KIND).confirmed_at == confirmed_at
+
+
 class TestFreshness:
     """A replica never appears fresher than it is."""
 
@@ -149,6 +193,16 @@
         second = collection.next_update("link", True, at(2.1))
         assert not second.kinds[0].changes
 
+    def test_update_that_was_not_sent(self) -> None:
+        """Its changes and instances are in the next update again."""
+        collection = self.make_followers()
+        collection.record_request("link", make_request(1, 0), at(2.0))
+        unsent = collection.next_update("link", True, at(2.0))
+        collection.record_unsent("link", unsent)
+        again = collection.next_update("link", True, at(2.1))
+        assert again.kinds[0].changes == unsent.kinds[0].changes
+        assert again.instances == unsent.instances
+
     def test_instances_are_sent_when_they_change(self) -> None:
         """Instance names are omitted while they are unchanged."""
         collection = self.make_followers()
--- /dev/null
+++ b/tests/runtime/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the tasks that exchange updates with other instances."""
