Compress large objects in updates to followers

Callers saw: with a long route list, changes of the configuration were not in force in time and upstreams that were leaving still got requests (CONFIG, DRAIN), on sites where most instances have 10 Mbit/s. Cause: the leader sends a configuration whole to each follower of its data centre and to each relay, at once, on the link that carries the renewals of its lease. 130 KB for 20 followers are 2.1 s of it; each relay needs as long again for its members. Meanwhile the lease ends, all instances look into the store, the next leader begins again with the same. A follower says that it accepts them, so that builds without it get plain objects; what is not valid or grows over the limit of a frame is refused with a code. Ruled out: to let members fetch a long configuration from the store, as it is 65 priced calls for each version.

--- a/dragonflyshelf/codec/relay.capnp
+++ b/dragonflyshelf/codec/relay.capnp
@@ -53,6 +53,7 @@
   loads @5 :List(RangeLoad);
   members @6 :List(Text);
   paces @7 :List(Pace);
+  acceptsCompressed @8 :Bool;
 }
 
 struct Change {
@@ -60,6 +61,7 @@
   revision @1 :UInt64;
   removed @2 :Bool;
   spec @3 :Data;
+  compressed @4 :Bool;
 }
 
 struct Kind {
--- a/dragonflyshelf/core/relay/messages.py
+++ b/dragonflyshelf/core/relay/messages.py
@@ -28,7 +28,8 @@
     ``number`` increases with each request of an instance. ``address`` is
     where the follower serves others as a relay, and ``members`` are the
     instances that currently follow it. ``loads`` and ``paces``, measured
-    since the last report, include those of the members.
+    since the last report, include those of the members. An instance of an
+    older build does not set ``accepts_compressed``.
     """
 
     instance: ids.InstanceId
@@ -39,16 +40,22 @@
     loads: tuple[grantor.RangeLoad, ...]
     members: tuple[ids.InstanceId, ...] = ()
     paces: service_times.ServiceTimeSums = ()
+    accepts_compressed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class RelayedChange:
-    """Changed or removed object; ``spec`` is its encoded value."""
+    """Changed or removed object; ``spec`` is its encoded value.
+
+    It is ``compressed`` only between the encoding of a frame and its
+    decoding.
+    """
 
     name: ids.ObjectName
     revision: ids.Revision
     removed: bool
     spec: bytes
+    compressed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/dragonflyshelf/runtime/gateway/relay_coordinator.py
+++ b/dragonflyshelf/runtime/gateway/relay_coordinator.py
@@ -146,6 +146,7 @@
                 loads=loads,
                 members=self.followers.members(now),
                 paces=self._service_time_tally.take_report(),
+                accepts_compressed=True,
             )
         )
 
--- a/dragonflyshelf/runtime/relay/client.py
+++ b/dragonflyshelf/runtime/relay/client.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import dataclasses
+from typing import Any
 
 from absl import logging
 
+from dragonflyshelf.codec import compression
 from dragonflyshelf.codec import frames
 from dragonflyshelf.codec import relay as codec
 from dragonflyshelf.core import addresses
@@ -110,7 +112,10 @@
     def _on_data_received(self, message: sockets.DataReceived) -> None:
         self._last_received_at = self.now
         try:
-            received_frames = self._decoder.receive(message.data)
+            received_frames = [
+                _decompress(frame)
+                for frame in self._decoder.receive(message.data)
+            ]
         except errors.BadRequest as error:
             _LOGGER.warning(
                 "invalid frame from instance at %s: %s", self._address, error
@@ -188,3 +193,10 @@
                 "connecting to instance at %s failed: %s", address, error_text
             )
         self.inbox.post(ConnectFinished(address=address, error=error_text))
+
+
+def _decompress(frame: Any) -> Any:
+    """Return a frame, without compressed objects if it is an update."""
+    if isinstance(frame, relay.Update):
+        return compression.decompress(frame)
+    return frame
--- a/dragonflyshelf/runtime/relay/server.py
+++ b/dragonflyshelf/runtime/relay/server.py
@@ -6,6 +6,7 @@
 from absl import logging
 import prometheus_client
 
+from dragonflyshelf.codec import compression
 from dragonflyshelf.codec import frames
 from dragonflyshelf.codec import relay as codec
 from dragonflyshelf.core import errors
@@ -33,6 +34,7 @@
         self._decoder = frames.FrameDecoder(codec.CODEC)
         self._transport: asyncio.Transport | None = None
         self._unsent_count = 0
+        self._accepts_compressed = False
 
     @task.handles(sockets.SocketOpened)
     def _on_socket_opened(self, message: sockets.SocketOpened) -> None:
@@ -53,6 +55,7 @@
         self, request: relay.UpdateRequest | relay.TokenRequests
     ) -> None:
         if isinstance(request, relay.UpdateRequest):
+            self._accepts_compressed = request.accepts_compressed
             self._control_inbox.post(
                 messages.UpdateRequestReceived(
                     request=request, reply_to=self.inbox
@@ -77,6 +80,8 @@
         if sockets.is_write_buffer_full(self._transport):
             self._reject(message)
             return
+        if self._accepts_compressed:
+            message = compression.compress(message)
         self._transport.write(codec.CODEC.encode(message))
 
     def _reject(self, update: relay.Update) -> None:
