End attempts at upstreams that send bytes without end

Callers saw: a request that an upstream had refused before it ran waited until its deadline, if the body of the refusal did not end, and was not sent to another upstream; interim responses without end did the same. Meanwhile the instance read as fast as the upstream sent. Cause: a body that no caller gets was read to its end without a limit, and interim responses were not counted. Heads, chunk sizes, trailers and bodies that go to callers have limits or flow control already. Evidence: TestBytesWithoutEnd, before: 'early hints', a refusal whose body has no end and one whose body doesn't come did not end in 20 s; the others passed. After: all pass. Now: such a body is read for 64 KiB or 0.3 s, then its head decides and the connection is closed; the ninth interim response fails the attempt.

--- a/dragonflyshelf/runtime/upstreams/connection.py
+++ b/dragonflyshelf/runtime/upstreams/connection.py
@@ -43,6 +43,22 @@
     exchange: ids.ExchangeId
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class WithheldBodyOverdue:
+    """The body of a withheld response has not ended in time."""
+
+    exchange: ids.ExchangeId
+
+
+MAX_INFORMATIONAL_RESPONSE_COUNT: Final = 8
+"""Informational responses to a request after which it fails."""
+
+MAX_WITHHELD_BODY_BYTES: Final = 64 * 1024
+"""Size from which the rest of a withheld body is not read."""
+
+WITHHELD_BODY_SECONDS: Final = 0.3
+"""Time from the head after which a withheld body is not awaited."""
+
 DEADLINE_GRACE_SECONDS: Final = 0.1
 """Time after a deadline within which the router should cancel.
 
@@ -101,6 +117,7 @@
         )
         self._attempt: runtime_messages.StartAttempt | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._withheld_timer: asyncio.TimerHandle | None = None
         self.keep_alive_seconds = config.upstreams.idle_timeout
         """Time for which the upstream keeps an idle connection open."""
         self.has_completed_exchange = False
@@ -111,6 +128,8 @@
         self._request_sent = False
         self._response_started = False
         self._withheld_reason: WithheldReason | None = None
+        self._withheld_bytes = 0
+        self._informational_count = 0
         self._status = 0
         self._load_report: upstreams.LoadReport | None = None
         self._unacknowledged_bytes = 0
@@ -177,6 +196,11 @@
             )
         )
 
+    @task.handles(WithheldBodyOverdue)
+    def _on_withheld_body_overdue(self, message: WithheldBodyOverdue) -> None:
+        if self._attempt is not None and self._is_current(message.exchange):
+            self._on_response_end(self._attempt)
+
     @task.handles(sockets.DataReceived)
     def _on_data_received(self, message: sockets.DataReceived) -> None:
         if self._attempt is None:
@@ -221,8 +245,7 @@
 
     def on_end(self) -> None:
         """Reset the socket and notify the pool."""
-        if self._timer is not None:
-            self._timer.cancel()
+        self._cancel_timers()
         if self._transport is not None:
             sockets.reset(self._transport)
             self._transport = None
@@ -287,9 +310,10 @@
     ) -> None:
         if isinstance(event, h11.Response):
             self._on_response(attempt, event)
+        elif isinstance(event, h11.InformationalResponse):
+            self._on_informational_response()
         elif isinstance(event, h11.Data):
-            if self._withheld_reason is None:
-                self._on_response_data(attempt, bytes(event.data))
+            self._on_data(attempt, bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
             self._on_response_end(attempt)
         elif isinstance(event, h11.ConnectionClosed):
@@ -297,6 +321,23 @@
                 "upstream closed the connection during the exchange"
             )
 
+    def _on_informational_response(self) -> None:
+        self._informational_count += 1
+        if self._informational_count > MAX_INFORMATIONAL_RESPONSE_COUNT:
+            self._fail_with_upstream_error(
+                "upstream sent too many informational responses"
+            )
+
+    def _on_data(
+        self, attempt: runtime_messages.StartAttempt, data: bytes
+    ) -> None:
+        if self._withheld_reason is None:
+            self._on_response_data(attempt, data)
+            return
+        self._withheld_bytes += len(data)
+        if self._withheld_bytes > MAX_WITHHELD_BODY_BYTES:
+            self._on_response_end(attempt)
+
     def _on_response(
         self, attempt: runtime_messages.StartAttempt, event: h11.Response
     ) -> None:
@@ -314,6 +355,10 @@
         self._update_keep_alive(values_by_name.get(b"keep-alive", b""))
         self._withheld_reason = self._find_withheld_reason(attempt, event)
         if self._withheld_reason is not None:
+            self._withheld_timer = self.post_later(
+                WITHHELD_BODY_SECONDS,
+                WithheldBodyOverdue(exchange=attempt.exchange),
+            )
             return
         self._response_started = True
         attempt.origin.post(
@@ -385,6 +430,7 @@
             self._transport.pause_reading()
 
     def _on_response_end(self, attempt: runtime_messages.StartAttempt) -> None:
+        """Report the response, whose body has ended or is withheld."""
         error: errors.RouterError | None = None
         result = state.AttemptResult.RESPONDED
         if self._withheld_reason is None:
@@ -480,9 +526,7 @@
         result: state.AttemptResult,
         error: errors.RouterError | None,
     ) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
+        self._cancel_timers()
         attempt = self._attempt
         assert attempt is not None
         self._router.post(
@@ -497,5 +541,12 @@
             )
         )
 
+    def _cancel_timers(self) -> None:
+        for timer in (self._timer, self._withheld_timer):
+            if timer is not None:
+                timer.cancel()
+        self._timer = None
+        self._withheld_timer = None
+
     def _close(self) -> None:
         self.stop()
--- a/tests/runtime/upstreams/test_connection.py
+++ b/tests/runtime/upstreams/test_connection.py
@@ -14,6 +14,7 @@
 from dragonflyshelf.core import messages
 from dragonflyshelf.core import states
 from dragonflyshelf.core.upstreams import objects as upstreams
+from dragonflyshelf.core.upstreams import state
 from dragonflyshelf.runtime import inbox
 from dragonflyshelf.runtime import messages as runtime_messages
 from dragonflyshelf.runtime import sockets
@@ -54,6 +55,30 @@
     b"Content-Length: 9\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
 }
 
+CHUNK = b"3\r\nabc\r\n"
+REFUSAL_HEAD = (
+    b"HTTP/1.1 503 Service Unavailable\r\nTransfer-Encoding: chunked\r\n"
+    b"X-Not-Run: 1\r\n\r\n"
+)
+CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+ENDLESS_RESPONSES = {
+    "chunk size": (CHUNKED_HEAD, b"0"),
+    "early hints": (b"", b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"),
+    "head lines": (b"HTTP/1.1 200 OK\r\n", b"Name: value\r\n"),
+    "one head line": (b"HTTP/1.1 200 OK\r\nName: ", b"x"),
+    "status line": (b"", b"x"),
+    "trailers": (CHUNKED_HEAD + b"0\r\n", b"Name: value\r\n"),
+    "zeros": (b"", b"\0"),
+}
+"""Start of a response, and bytes that follow without end."""
+
+FLOOD_BLOCK_BYTES = 65536
+MAX_FLOOD_BYTES = 256 * 1024 * 1024
+"""Bytes after which an upstream gives up sending."""
+
+MAX_BUFFERED_BYTES = 1024 * 1024
+"""Bytes of a response that may be held for a caller."""
+
 
 @dataclasses.dataclass(kw_only=True)
 class ConnectionHarness:
@@ -303,6 +328,102 @@
         asyncio.run(async_run())
 
 
+class TestBytesWithoutEnd:
+    """An upstream that sends bytes without end until it is cut off.
+
+    The deadline of the requests is far away.
+    """
+
+    async def async_flood(
+        self, harness: ConnectionHarness, start: bytes, rest: bytes
+    ) -> int:
+        """Send until the connection is closed; return the bytes sent."""
+        block = rest * (FLOOD_BLOCK_BYTES // len(rest))
+        sent_bytes = 0
+        harness.writer.write(start)
+        try:
+            while sent_bytes < MAX_FLOOD_BYTES:
+                harness.writer.write(block)
+                await harness.writer.drain()
+                sent_bytes += len(block)
+        except ConnectionError:
+            pass
+        return sent_bytes
+
+    async def async_check(
+        self, start: bytes, rest: bytes
+    ) -> runtime_messages.AttemptEnded:
+        """Return how an attempt ended that got bytes without end."""
+        async with async_run_harness() as harness:
+            harness.start()
+            await harness.async_wait_attached()
+            await harness.reader.readuntil(b"\r\n\r\n")
+            async with asyncio.timeout(fakes.TIMEOUT_SECONDS):
+                flood = asyncio.create_task(
+                    self.async_flood(harness, start, rest)
+                )
+                ended = await harness.async_attempt_ended()
+                assert await flood < MAX_FLOOD_BYTES
+            assert messages.ResponseEnd not in map(
+                type, harness.origin_messages()
+            )
+            return ended
+
+    @pytest.mark.parametrize("name", sorted(ENDLESS_RESPONSES))
+    def test_response_without_end(self, name: str) -> None:
+        """The attempt fails soon, with an unknown outcome."""
+        ended = asyncio.run(self.async_check(*ENDLESS_RESPONSES[name]))
+        assert ended.error is not None
+        assert ended.error.outcome is states.Outcome.UNKNOWN
+
+    def test_refusal_without_end(self) -> None:
+        """A refusal counts, though its body has no end."""
+        ended = asyncio.run(self.async_check(REFUSAL_HEAD, CHUNK))
+        assert ended.result is state.AttemptResult.DECLINED
+        assert ended.error is not None
+        assert ended.error.outcome is states.Outcome.NOT_RUN
+
+    def test_refusal_whose_body_is_missing(self) -> None:
+        """A refusal counts, though its body doesn't come."""
+
+        async def async_run() -> None:
+            async with async_run_harness() as harness:
+                harness.start()
+                await harness.async_wait_attached()
+                harness.writer.write(REFUSAL_HEAD)
+                async with asyncio.timeout(fakes.TIMEOUT_SECONDS):
+                    ended = await harness.async_attempt_ended()
+                assert ended.result is state.AttemptResult.DECLINED
+
+        asyncio.run(async_run())
+
+    def test_body_without_end(self) -> None:
+        """A caller that reads nothing holds the upstream up."""
+
+        async def async_run() -> None:
+            async with async_run_harness(window_bytes=4096) as harness:
+                harness.start(timeout=0.3)
+                await harness.async_wait_attached()
+                flood = asyncio.create_task(
+                    self.async_flood(
+                        harness, b"HTTP/1.1 200 OK\r\n\r\n", b"\0"
+                    )
+                )
+                ended = await harness.async_attempt_ended()
+                assert isinstance(ended.error, errors.DeadlineExceeded)
+                assert await flood < MAX_FLOOD_BYTES
+                parts = harness.origin_messages()
+                assert isinstance(parts[-1], messages.ResponseFailed)
+                received_bytes = sum(
+                    len(part.data)
+                    for part in parts
+                    if isinstance(part, messages.ResponseChunk)
+                )
+                assert received_bytes < MAX_BUFFERED_BYTES
+
+        asyncio.run(async_run())
+
+
 class TestCancel:
     """Cancelling an exchange closes its connection."""
 
