Limit the responses to calls of our own

A grant goes to upstreams, which may send anything. Now: a body ends at 16 MiB, that of a grant or release at 64 KiB; the call fails like one with an invalid response, and the connection is reset.

--- a/dragonflyshelf/runtime/grantor/calls.py
+++ b/dragonflyshelf/runtime/grantor/calls.py
@@ -15,6 +15,9 @@
 
 RangeCall = messages.GrantRange | messages.ReleaseRange
 
+MAX_RESPONSE_BODY_BYTES = 64 * 1024
+"""Limit of the response to a grant or a release, whose body is not used."""
+
 RELEASE_TIMEOUT_SECONDS = 1.5
 """Timeout for a release, which waits for running requests to finish."""
 
@@ -85,7 +88,9 @@
         client = self._clients_by_key.get(key)
         if client is None:
             client = http_client.HttpClient(
-                call.registration.host, call.registration.port
+                call.registration.host,
+                call.registration.port,
+                MAX_RESPONSE_BODY_BYTES,
             )
             self._clients_by_key[key] = client
         return client
--- a/dragonflyshelf/runtime/http_client.py
+++ b/dragonflyshelf/runtime/http_client.py
@@ -4,6 +4,7 @@
 from collections import abc
 import contextlib
 import dataclasses
+from typing import Final
 
 import h11
 
@@ -13,6 +14,12 @@
 READ_CHUNK_BYTES = 65536
 """Maximum size of one read from the socket."""
 
+DEFAULT_MAX_BODY_BYTES: Final = 16 * 1024 * 1024
+"""Limit of a response body unless another one is given."""
+
+MAX_INFORMATIONAL_RESPONSE_COUNT: Final = 8
+"""Informational responses to a call after which it fails."""
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class HttpResponse:
@@ -27,13 +34,20 @@
     """Keep-alive connection that makes one call at a time.
 
     Socket errors are raised as ``OSError`` and invalid responses as
-    ``h11.RemoteProtocolError``. The caller sets the timeout of a call.
+    ``h11.RemoteProtocolError``, also those whose body is longer than
+    ``max_body_bytes``. The caller sets the timeout of a call.
     """
 
-    def __init__(self, host: str, port: int) -> None:
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        max_body_bytes: int = DEFAULT_MAX_BODY_BYTES,
+    ) -> None:
         """Create a client that connects on the first call."""
         self._host = host
         self._port = port
+        self._max_body_bytes = max_body_bytes
         self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
         self._http = h11.Connection(h11.CLIENT)
@@ -113,6 +127,8 @@
         assert self._reader is not None
         response_head: h11.Response | None = None
         body_chunks: list[bytes] = []
+        body_size = 0
+        informational_count = 0
         while True:
             event = self._http.next_event()
             if event is h11.NEED_DATA:
@@ -124,7 +140,16 @@
                 self._http.receive_data(data)
             elif isinstance(event, h11.Response):
                 response_head = event
+            elif isinstance(event, h11.InformationalResponse):
+                informational_count += 1
+                if informational_count > MAX_INFORMATIONAL_RESPONSE_COUNT:
+                    raise h11.RemoteProtocolError(
+                        "too many informational responses"
+                    )
             elif isinstance(event, h11.Data):
+                body_size += len(event.data)
+                if body_size > self._max_body_bytes:
+                    raise h11.RemoteProtocolError("response body is too long")
                 body_chunks.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
                 break
