Return requests that wait for a connection to an upstream that leaves

Cause: the choice was not looked at again between dispatch and sending. Now: the pool returns what it has not sent. It is dispatched again, which costs neither an attempt nor the retry budget as no upstream saw it, or is refused at once as not run. Ruled out: heads behind a slow body, as a head is written at once.

--- a/dragonflyshelf/core/scheduling/coordinator.py
+++ b/dragonflyshelf/core/scheduling/coordinator.py
@@ -214,6 +214,9 @@
         assert event.error is not None
         if event.error.outcome is states.Outcome.NOT_RUN:
             exchange.possible_run_count -= 1
+        if event.result is state.AttemptResult.UNSENT:
+            exchange.attempt_count -= 1
+            return self._enqueue(exchange, now)
         delay = self._retry_policy.retry_delay(exchange, event.result, now)
         if delay is None:
             return self._refuse(exchange, event.error)
--- a/dragonflyshelf/core/upstreams/state.py
+++ b/dragonflyshelf/core/upstreams/state.py
@@ -8,13 +8,18 @@
 
 
 class AttemptResult(enum.Enum):
-    """Outcome of an attempt, for the health of the upstream."""
+    """Outcome of an attempt, for the health of the upstream.
+
+    An attempt is ``UNSENT`` if the upstream began to leave before the
+    request was sent.
+    """
 
     RESPONDED = "answered"
     CANCELLED = "cancelled"
     FAILED = "failed"
     NOT_HOLDER = "not_holder"
     DECLINED = "refused"
+    UNSENT = "unsent"
 
 
 class UpstreamState:
--- a/dragonflyshelf/runtime/gateway/router.py
+++ b/dragonflyshelf/runtime/gateway/router.py
@@ -179,14 +179,27 @@
     def _on_registrations_changed(
         self, message: upstream_events.RegistrationsChanged
     ) -> None:
-        self._retire_pools(message.registrations)
         self._handle_event(message)
+        self._retire_pools(message.registrations)
+        for registration in message.registrations:
+            if registration.is_draining:
+                self._return_unsent_attempts(registration.incarnation)
+
+    def _return_unsent_attempts(
+        self, incarnation: ids.UpstreamIncarnation
+    ) -> None:
+        upstream_pool = self._pools_by_incarnation.get(incarnation)
+        if upstream_pool is not None:
+            upstream_pool.inbox.post(pool.ReturnUnsentAttempts())
 
     @task.handles(upstream_events.EvacuationsChanged)
     def _on_evacuations_changed(
         self, message: upstream_events.EvacuationsChanged
     ) -> None:
         self._handle_event(message)
+        for incarnation, upstream_pool in self._pools_by_incarnation.items():
+            if upstream_pool.data_centre in message.data_centres:
+                self._return_unsent_attempts(incarnation)
 
     @task.handles(scheduling.AssignmentsChanged)
     def _on_assignments_changed(
--- a/dragonflyshelf/runtime/upstreams/pool.py
+++ b/dragonflyshelf/runtime/upstreams/pool.py
@@ -10,6 +10,7 @@
 from dragonflyshelf.core import ids
 from dragonflyshelf.core import messages
 from dragonflyshelf.core import settings
+from dragonflyshelf.core import states
 from dragonflyshelf.core.upstreams import objects
 from dragonflyshelf.core.upstreams import state
 from dragonflyshelf.runtime import inbox
@@ -35,11 +36,24 @@
     error: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ReturnUnsentAttempts:
+    """The upstream is leaving; what is not sent yet goes elsewhere."""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class RetirePool:
     """The upstream gets no new exchanges; those in flight may complete."""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class PendingAttempt:
+    """Attempt whose connection is being opened."""
+
+    attempt: runtime_messages.StartAttempt
+    connect_task: asyncio.Task[None]
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class IdleConnection:
     """An open connection without an exchange."""
@@ -73,9 +87,12 @@
         self._queued_attempts: collections.deque[
             runtime_messages.StartAttempt
         ] = collections.deque()
-        self._connect_tasks_by_exchange: dict[
-            ids.ExchangeId, asyncio.Task[None]
-        ] = {}
+        self._pending_by_exchange: dict[ids.ExchangeId, PendingAttempt] = {}
+
+    @property
+    def data_centre(self) -> ids.DataCentreId:
+        """Return the data centre of the upstream."""
+        return self._registration.data_centre
 
     @task.handles(runtime_messages.StartAttempt)
     def _on_start_attempt(
@@ -111,17 +128,38 @@
             if attempt.exchange == message.exchange:
                 self._queued_attempts.remove(attempt)
                 return
-        connect_task = self._connect_tasks_by_exchange.pop(
-            message.exchange, None
-        )
-        if connect_task is not None:
-            connect_task.cancel()
+        pending = self._pending_by_exchange.pop(message.exchange, None)
+        if pending is not None:
+            pending.connect_task.cancel()
         for connection_task in self._connections:
             connection_task.inbox.post(message)
 
+    @task.handles(ReturnUnsentAttempts)
+    def _on_return_unsent_attempts(
+        self, message: ReturnUnsentAttempts
+    ) -> None:
+        self._return_unsent_attempts()
+
+    def _return_unsent_attempts(self) -> None:
+        """Return the attempts that wait for a connection to the router."""
+        unsent_attempts = list(self._queued_attempts)
+        self._queued_attempts.clear()
+        for pending in self._pending_by_exchange.values():
+            pending.connect_task.cancel()
+            unsent_attempts.append(pending.attempt)
+        self._pending_by_exchange.clear()
+        for attempt in unsent_attempts:
+            error = errors.UpstreamDeclined(
+                "upstream leaves, request not sent yet",
+                step=states.Step.CONNECT,
+                peer=self._registration.id,
+            )
+            self._report_failure(attempt, state.AttemptResult.UNSENT, error)
+
     @task.handles(RetirePool)
     def _on_retire_pool(self, message: RetirePool) -> None:
         self._is_retired = True
+        self._return_unsent_attempts()
         for idle in self._idle_connections:
             self._close_connection(idle.connection)
         self._stop_if_unused()
@@ -177,23 +215,34 @@
     def _on_connect_failed(self, message: ConnectFailed) -> None:
         message.connection.stop()
         self._connections.discard(message.connection)
-        attempt = message.attempt
+        error = errors.UpstreamUnreachable(
+            message.error, peer=self._registration.id
+        )
+        self._report_failure(
+            message.attempt, state.AttemptResult.FAILED, error
+        )
+
+    def _report_failure(
+        self,
+        attempt: runtime_messages.StartAttempt,
+        result: state.AttemptResult,
+        error: errors.RouterError,
+    ) -> None:
+        """Report an attempt that was not sent."""
         self._router.post(
             runtime_messages.AttemptEnded(
                 exchange=attempt.exchange,
                 upstream=self._registration.id,
-                result=state.AttemptResult.FAILED,
-                error=errors.UpstreamUnreachable(
-                    message.error, peer=self._registration.id
-                ),
+                result=result,
+                error=error,
                 response_started=False,
             )
         )
 
     def on_end(self) -> None:
         """Close idle connections; exchanges in flight may complete."""
-        for connect_task in self._connect_tasks_by_exchange.values():
-            connect_task.cancel()
+        for pending in self._pending_by_exchange.values():
+            pending.connect_task.cancel()
         for idle in self._idle_connections:
             self._close_connection(idle.connection)
 
@@ -215,7 +264,9 @@
         connect_task = asyncio.create_task(
             self._async_connect(connection_task, attempt)
         )
-        self._connect_tasks_by_exchange[attempt.exchange] = connect_task
+        self._pending_by_exchange[attempt.exchange] = PendingAttempt(
+            attempt=attempt, connect_task=connect_task
+        )
         connect_task.add_done_callback(
             lambda _: self._on_connect_done(
                 connection_task, attempt, connect_task
@@ -228,13 +279,12 @@
         attempt: runtime_messages.StartAttempt,
         connect_task: asyncio.Task[None],
     ) -> None:
-        if (
-            self._connect_tasks_by_exchange.get(attempt.exchange)
-            is connect_task
-        ):
-            del self._connect_tasks_by_exchange[attempt.exchange]
+        pending = self._pending_by_exchange.get(attempt.exchange)
+        if pending is not None and pending.connect_task is connect_task:
+            del self._pending_by_exchange[attempt.exchange]
         if connect_task.cancelled():
             self._connections.discard(connection_task)
+            self._stop_if_unused()
 
     async def _async_connect(
         self,
--- a/tests/core/scheduling/test_coordinator.py
+++ b/tests/core/scheduling/test_coordinator.py
@@ -1,11 +1,14 @@
 """Tests of request scheduling with a virtual clock."""
 
+import dataclasses
+
 import pytest
 
 from dragonflyshelf.core import errors
 from dragonflyshelf.core import ids
 from dragonflyshelf.core.quota import messages as quota
 from dragonflyshelf.core.scheduling import messages as scheduling
+from dragonflyshelf.core import settings
 from dragonflyshelf.core import states
 from dragonflyshelf.core.upstreams import messages as upstream_events
 from dragonflyshelf.core.upstreams import objects as upstreams
@@ -152,6 +155,31 @@
         assert later_upstreams
         assert set(later_upstreams) == {"u2"}
 
+    def test_unsent_request_of_a_leaving_upstream(self) -> None:
+        """It goes to another upstream, though no retry is allowed."""
+        harness = worlds.make_harness(worlds.upstream("u1"))
+        config = dataclasses.replace(
+            worlds.make_settings(),
+            retries=settings.RetrySettings(share=0.0, reserve=0.0),
+        )
+        harness.handle(settings.SettingsChanged(settings=config))
+        exchange = harness.request("/order/1")
+        harness.register(
+            worlds.upstream("u1", is_draining=True), worlds.upstream("u2")
+        )
+        harness.finish(exchange, Result.UNSENT, error=DECLINED)
+        assert harness.sent_to(exchange) == ["u1", "u2"]
+
+    def test_unsent_request_without_another_upstream(self) -> None:
+        """It is refused at once, as a request that has not run."""
+        harness = worlds.make_harness(worlds.upstream("u1"))
+        exchange = harness.request("/order/1")
+        harness.register(worlds.upstream("u1", is_draining=True))
+        harness.finish(exchange, Result.UNSENT, error=DECLINED)
+        refusal = harness.refusal(exchange)
+        assert refusal is not None
+        assert refusal.error.outcome is states.Outcome.NOT_RUN
+
     def test_evacuated_data_centre(self) -> None:
         """Upstreams of an evacuated data centre receive no requests."""
         other = ids.DataCentreId("b")
