Don't send again what is on its way to a follower

Cause: a follower asks each 0.4 s with the revisions that it has. While a link is full its answers are late, and each further request, sent before the object arrived, made the leader send the whole object again to it, so that a full link stayed full until the leader had lost its lease. The frames of one sending take about 0.5 s of the link. TestUpdateOnTheWay failed before. Now: a request carries the number of updates that arrived on its connection. While some are on their way, their revisions count as known, which is safe as a connection keeps order, what it didn't take is reported, and changes that don't follow on the replica are ignored. Once all have arrived the request is taken by its word; one of an older build always. Ruled out: a pause of the requests, as they confirm that followers live. All tests of relay, codec and runtime pass.

--- a/dragonflyshelf/codec/relay.capnp
+++ b/dragonflyshelf/codec/relay.capnp
@@ -54,6 +54,7 @@
   members @6 :List(Text);
   paces @7 :List(Pace);
   acceptsCompressed @8 :Bool;
+  receivedCount @9 :Int64 = -1;
 }
 
 struct Change {
--- a/dragonflyshelf/core/relay/followers.py
+++ b/dragonflyshelf/core/relay/followers.py
@@ -11,7 +11,6 @@
 from dragonflyshelf.core.relay import messages
 from dragonflyshelf.core.relay import updates
 from dragonflyshelf.core import settings
-from dragonflyshelf.core.store import messages as store
 from dragonflyshelf.core.store import replica
 
 Link = Any
@@ -32,10 +31,14 @@
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Follower:
-    """Last update request on one link, and the state sent in response."""
+    """Last update request on one link, and the state sent in response.
+
+    The revisions in the request include those that were sent since.
+    """
 
     request: messages.UpdateRequest
     requested_at: ids.Instant
+    sent_count: int = 0
     sent_instances: tuple[ids.InstanceId, ...] = ()
     loads: tuple[grantor.RangeLoad, ...] = ()
     loads_reported_at: ids.Instant = ids.Instant(0.0)
@@ -83,7 +86,11 @@
         follower = self._followers_by_link.setdefault(
             link, Follower(request=request, requested_at=now)
         )
-        follower.request = request
+        if 0 <= request.received_count < follower.sent_count:
+            sent_known = follower.request.known
+            follower.request = _with_known(request, sent_known, max)
+        else:
+            follower.request = request
         follower.requested_at = now
         if request.loads:
             follower.loads = request.loads
@@ -174,6 +181,7 @@
             ),
         )
         follower.request = _with_sent_revisions(follower.request, update)
+        follower.sent_count += 1
         return update
 
     def record_unsent(self, link: Link, update: messages.Update) -> None:
@@ -181,6 +189,7 @@
         follower = self._followers_by_link.get(link)
         if follower is None:
             return
+        follower.sent_count -= 1
         follower.sent_instances = ()
         follower.request = _without_unsent_revisions(follower.request, update)
 
@@ -210,28 +219,31 @@
     request: messages.UpdateRequest, update: messages.Update
 ) -> messages.UpdateRequest:
     """Return the request with its revisions advanced by the update."""
-    revision_by_kind = {
-        relayed.kind: relayed.revision for relayed in update.kinds
-    }
-    return _with_revisions(request, revision_by_kind, max)
+    sent = tuple(
+        messages.KnownRevision(kind=relayed.kind, revision=relayed.revision)
+        for relayed in update.kinds
+    )
+    return _with_known(request, sent, max)
 
 
 def _without_unsent_revisions(
     request: messages.UpdateRequest, update: messages.Update
 ) -> messages.UpdateRequest:
     """Return the request with the revisions from before the update."""
-    revision_by_kind = {
-        relayed.kind: relayed.since for relayed in update.kinds
-    }
-    return _with_revisions(request, revision_by_kind, min)
+    former = tuple(
+        messages.KnownRevision(kind=relayed.kind, revision=relayed.since)
+        for relayed in update.kinds
+    )
+    return _with_known(request, former, min)
 
 
-def _with_revisions(
+def _with_known(
     request: messages.UpdateRequest,
-    revision_by_kind: abc.Mapping[store.ObjectKind, ids.Revision],
+    others: tuple[messages.KnownRevision, ...],
     select: abc.Callable[[ids.Revision, ids.Revision], ids.Revision],
 ) -> messages.UpdateRequest:
-    """Return the request with each revision selected from its two values."""
+    """Return the request with each revision selected from the two known."""
+    revision_by_kind = {other.kind: other.revision for other in others}
     known = tuple(
         dataclasses.replace(
             known_revision,
--- a/dragonflyshelf/core/relay/messages.py
+++ b/dragonflyshelf/core/relay/messages.py
@@ -4,6 +4,7 @@
 """
 
 import dataclasses
+from typing import Final
 
 from dragonflyshelf.core import addresses
 from dragonflyshelf.core.grantor import messages as grantor
@@ -12,6 +13,9 @@
 from dragonflyshelf.core.store import messages as store
 from dragonflyshelf.core.upstreams import service_times
 
+NOT_COUNTED: Final = -1
+"""Number of received updates from an instance that doesn't count them."""
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class KnownRevision:
@@ -28,8 +32,9 @@
     ``number`` increases with each request of an instance. ``address`` is
     where the follower serves others as a relay, and ``members`` are the
     instances that currently follow it. ``loads`` and ``paces``, measured
-    since the last report, include those of the members. An instance of an
-    older build does not set ``accepts_compressed``.
+    since the last report, include those of the members. ``received_count``
+    is the number of updates received on the connection of the request. An
+    instance of an older build does not set it or ``accepts_compressed``.
     """
 
     instance: ids.InstanceId
@@ -41,6 +46,7 @@
     members: tuple[ids.InstanceId, ...] = ()
     paces: service_times.ServiceTimeSums = ()
     accepts_compressed: bool = False
+    received_count: int = NOT_COUNTED
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/dragonflyshelf/runtime/relay/client.py
+++ b/dragonflyshelf/runtime/relay/client.py
@@ -53,6 +53,7 @@
         self._transport: asyncio.Transport | None = None
         self._connect_task: asyncio.Task[None] | None = None
         self._last_received_at = 0.0
+        self._received_count = 0
         self._pending_requests: list[
             relay.UpdateRequest | relay.TokenRequests
         ] = []
@@ -84,6 +85,10 @@
     ) -> None:
         """Send a message, or queue it until the connection is open."""
         if self._transport is not None:
+            if isinstance(message, relay.UpdateRequest):
+                message = dataclasses.replace(
+                    message, received_count=self._received_count
+                )
             self._transport.write(codec.CODEC.encode(message))
             return
         if len(self._pending_requests) < MAX_PENDING_REQUEST_COUNT:
@@ -103,6 +108,7 @@
         self._transport = message.transport
         self._decoder = frames.FrameDecoder(codec.CODEC)
         self._last_received_at = self.now
+        self._received_count = 0
         pending_requests = self._pending_requests
         self._pending_requests = []
         for request in pending_requests:
@@ -124,6 +130,7 @@
             return
         for frame in received_frames:
             if isinstance(frame, relay.Update):
+                self._received_count += 1
                 self._control_inbox.post(messages.UpdateReceived(update=frame))
             elif isinstance(frame, relay.TokenAllocations):
                 self._control_inbox.post(frame)
--- a/tests/core/relay/test_relay.py
+++ b/tests/core/relay/test_relay.py
@@ -148,6 +148,68 @@
         assert follower.by_kind(KIND).confirmed_at == confirmed_at
 
 
+class TestUpdateOnTheWay:
+    """What is on its way to a follower is not sent again."""
+
+    def make_followers(self) -> tuple[replica.Replica, followers.Followers]:
+        """Return a leader's replica, and a follower that has no object."""
+        leader = replica.Replica()
+        leader.apply_list(objects.list_event(5, 1.0, objects.stored("a", 4)))
+        collection = followers.Followers(OWN_SETTINGS, leader)
+        self.request(collection, 1, 0, received_count=0)
+        return leader, collection
+
+    def request(
+        self,
+        collection: followers.Followers,
+        number: int,
+        revision: int,
+        received_count: int,
+    ) -> None:
+        """Record a request of the follower."""
+        request = make_request(number, revision, received_count=received_count)
+        collection.record_request("link", request, at(2.0 + number / 10))
+
+    def sent_names(self, collection: followers.Followers) -> list[str]:
+        """Return the names of the objects in the next update."""
+        (relayed,) = collection.next_update("link", True, at(3.0)).kinds
+        return [change.name for change in relayed.changes]
+
+    def test_request_before_the_update_arrived(self) -> None:
+        """A slow link does not get the same objects again and again."""
+        leader, collection = self.make_followers()
+        assert self.sent_names(collection) == ["a"]
+        self.request(collection, 2, 0, received_count=0)
+        assert not self.sent_names(collection)
+        leader.apply_changes(
+            objects.change_event(6, 2.5, objects.stored("b", 6))
+        )
+        self.request(collection, 3, 0, received_count=1)
+        assert self.sent_names(collection) == ["b"]
+
+    def test_update_that_was_ignored(self) -> None:
+        """It is sent again once all updates have arrived."""
+        _, collection = self.make_followers()
+        assert self.sent_names(collection) == ["a"]
+        self.request(collection, 2, 0, received_count=1)
+        assert self.sent_names(collection) == ["a"]
+
+    def test_update_that_was_not_sent(self) -> None:
+        """It is not awaited."""
+        _, collection = self.make_followers()
+        unsent = collection.next_update("link", True, at(2.2))
+        collection.record_unsent("link", unsent)
+        self.request(collection, 2, 0, received_count=0)
+        assert self.sent_names(collection) == ["a"]
+
+    def test_follower_that_does_not_count(self) -> None:
+        """A follower of an older build gets what it asks for."""
+        _, collection = self.make_followers()
+        assert self.sent_names(collection) == ["a"]
+        self.request(collection, 2, 0, received_count=-1)
+        assert self.sent_names(collection) == ["a"]
+
+
 class TestFreshness:
     """A replica never appears fresher than it is."""
 
