Log writes to the store that get no response

Cause: in the record of long-routes a leader lost its lease without a line about its renewals: the client turned a write without a response into an unknown outcome before the task could log it. Evidence: TestWriteWithoutResponse failed before for want of the line. The outcome stays unknown; no decision changes.

--- a/dragonflyshelf/platform/store.py
+++ b/dragonflyshelf/platform/store.py
@@ -133,9 +133,9 @@
     ) -> grantor.ControlWriteCompleted:
         """Create a control object or replace its expected revision.
 
-        The outcome is ``UNKNOWN`` without a response. Raises
-        ``PlatformUnavailable`` for an unexpected status and
-        ``InvalidObject`` if the current object cannot be decoded.
+        Raises ``PlatformUnavailable`` without a response, as the outcome
+        is unknown then, or for an unexpected status, and ``InvalidObject``
+        if the current object cannot be decoded.
         """
         path = names.PATHS_BY_KIND[store.ObjectKind.CONTROL]
         body: dict[str, Any] = {
@@ -147,12 +147,9 @@
             method = "PUT"
             path = f"{path}/{write.name}"
             body["Metadata"]["Revision"] = write.expected_revision
-        try:
-            response = await self._async_call(
-                method, path, write.timeout, msgspec.json.encode(body)
-            )
-        except errors.PlatformUnavailable:
-            return _make_completion(write, store.WriteOutcome.UNKNOWN, sent_at)
+        response = await self._async_call(
+            method, path, write.timeout, msgspec.json.encode(body)
+        )
         return _complete_write(write, response, sent_at)
 
     async def _async_get(
--- /dev/null
+++ b/tests/runtime/store/test_write.py
@@ -0,0 +1,58 @@
+"""Tests of the task that writes control objects to the store."""
+
+import asyncio
+import logging
+
+import pytest
+
+from dragonflyshelf.core.grantor import messages as grantor
+from dragonflyshelf.core.grantor import objects
+from dragonflyshelf.core import ids
+from dragonflyshelf.core import settings
+from dragonflyshelf.core.store import messages as store
+from dragonflyshelf.runtime import inbox
+from dragonflyshelf.runtime.store import write
+from tests.runtime import deployment
+
+LEASE = objects.Lease(
+    holder=ids.InstanceId("i1"),
+    incarnation=ids.Incarnation(1),
+    host="127.0.0.1",
+    port=7100,
+    count=1,
+)
+
+
+class TestWriteWithoutResponse:
+    """A write of which nothing is known afterwards."""
+
+    async def async_write(self) -> grantor.ControlWriteCompleted:
+        """Write to a store that nobody runs."""
+        control_inbox = inbox.Inbox("control")
+        config = settings.StoreSettings(
+            address=f"{deployment.HOST}:{deployment.find_free_port()}"
+        )
+        write_task = write.StoreWriteTask(config, control_inbox)
+        async with write_task.async_running(), asyncio.timeout(5):
+            write_task.inbox.post(
+                grantor.WriteControl(
+                    name=ids.ObjectName("lease"),
+                    expected_revision=ids.Revision(0),
+                    value=LEASE,
+                    timeout=0.5,
+                )
+            )
+            await control_inbox.async_wait()
+        completed: grantor.ControlWriteCompleted = control_inbox.pop()
+        return completed
+
+    def test_unknown_outcome(self, caplog: pytest.LogCaptureFixture) -> None:
+        """The outcome is unknown, and a log line says why."""
+        logger = logging.getLogger("absl")
+        logger.addHandler(caplog.handler)
+        try:
+            completed = asyncio.run(self.async_write())
+        finally:
+            logger.removeHandler(caplog.handler)
+        assert completed.outcome is store.WriteOutcome.UNKNOWN
+        assert "writing control object lease failed" in caplog.text
