Don't count a replica as current by one object

Cause: the class of the lost update, sought in the other ways into the replica. An instance that fails to take the lease over gets the lease in the conflict; its revision became that of all control objects, so that a plan written between was never asked for. Evidence: test_plan_before_the_lease_of_a_failed_takeover; there was no way before to apply an object without advancing its kind. Now: such an object is applied alone. The leader, who is the only writer of the kind and doesn't watch it, still counts by its own writes. Ruled out: lists and watches, whose revision covers all they left out.

--- a/dragonflyshelf/core/store/replica.py
+++ b/dragonflyshelf/core/store/replica.py
@@ -90,6 +90,17 @@
             kind_replica, event.changes, event.revision, event.confirmed_at
         )
 
+    def apply_object(
+        self, stored: messages.StoredObject
+    ) -> tuple[messages.Change, ...]:
+        """Apply one object whose kind is not confirmed by it.
+
+        Changes of other objects before it may be unknown.
+        """
+        kind_replica = self._replicas_by_kind[stored.kind]
+        is_applied = self._apply_change(kind_replica, stored)
+        return (stored,) if is_applied else ()
+
     def _apply_batch(
         self,
         kind_replica: KindReplica,
--- a/dragonflyshelf/runtime/gateway/control.py
+++ b/dragonflyshelf/runtime/gateway/control.py
@@ -333,21 +333,42 @@
     def _on_control_write_completed(
         self, message: grantor.ControlWriteCompleted
     ) -> None:
-        """Apply the object that the write returned.
+        """Apply the object that the write returned."""
+        if message.current is not None:
+            is_writer = message.outcome is store.WriteOutcome.DONE
+            self._apply_written_object(
+                message.current, message.sent_at, is_writer or self.is_leading
+            )
+        self._handle_event(message)
+
+    def _apply_written_object(
+        self,
+        current: grantor.ControlObserved,
+        sent_at: ids.Instant,
+        is_writer: bool,
+    ) -> None:
+        """Apply the current value of an object that was written.
 
-        The leader does not watch control objects in the store.
+        The leader does not watch control objects, as it alone writes them.
+        To others one object does not tell which changes came before it.
         """
-        current = message.current
-        if current is not None:
-            self._on_kind_changed(
-                store.KindChanged(
-                    kind=Kind.CONTROL,
-                    revision=current.revision,
-                    changes=(_to_stored_object(current),),
-                    confirmed_at=message.sent_at,
-                )
+        self._mark_store_regained(Kind.CONTROL)
+        self._source = diagnostics.Source.STORE
+        stored = _to_stored_object(current)
+        if not is_writer:
+            self._publish_changes(
+                Kind.CONTROL, self._replica.apply_object(stored)
             )
-        self._handle_event(message)
+            return
+        self._apply(
+            store.KindChanged(
+                kind=Kind.CONTROL,
+                revision=current.revision,
+                changes=(stored,),
+                confirmed_at=sent_at,
+            ),
+            diagnostics.Source.STORE,
+        )
 
     @task.handles(grantor.RangeCallCompleted)
     def _on_range_call_completed(
--- a/tests/core/store/test_replica.py
+++ b/tests/core/store/test_replica.py
@@ -138,3 +138,27 @@
         store_replica.apply_changes(change_event(9, 5.0))
         store_replica.apply_changes(change_event(9, 2.0))
         assert store_replica.by_kind(KIND).confirmed_at == 5.0
+
+
+class TestObjectKnownWithoutThoseBeforeIt:
+    """One object alone does not make the replica current."""
+
+    def test_plan_before_the_lease_of_a_failed_takeover(self) -> None:
+        """A change before a single newer object is still missing."""
+        store_replica = replica.Replica()
+        store_replica.apply_list(list_event(5, 1.0, stored("plan", 4)))
+        changes = store_replica.apply_object(stored("lease", 9))
+        assert changes == (stored("lease", 9),)
+        assert store_replica.by_kind(KIND).revision == 5
+        assert store_replica.by_kind(KIND).confirmed_at == 1.0
+        store_replica.apply_changes(
+            change_event(9, 2.0, stored("plan", 7, b"moved"))
+        )
+        specs = {obj.name: obj.spec for obj in store_replica.objects(KIND)}
+        assert specs == {"lease": b"1", "plan": b"moved"}
+
+    def test_older_object(self) -> None:
+        """An object that is known in a newer revision stays."""
+        store_replica = replica.Replica()
+        store_replica.apply_list(list_event(5, 1.0, stored("plan", 4)))
+        assert store_replica.apply_object(stored("plan", 3)) == ()
