Let the leader of many instances have a relay in its own data centre

Callers saw: late changes and leaving upstreams, and keys without a holder, while a leader with a narrow link sent a long configuration on (CONFIG, DRAIN). Cause: what is left of the full link. A leader serves 13 to 16 followers of its own data centre besides the relays; about 30 KB compressed for each are 0.5 s of 10 Mbit/s, in which grants (0.5 s) time out and the lease (1.2 s, renewed each 0.4 s) is not renewed. Evidence: long-routes on, where nothing is sent twice: d-4 has configuration 10 in force at 9.39, all grants sent then fail at 9.88, its lease ends at 10.29 and it takes it again at 10.86. Now: among more than 16 instances each data centre has a relay, the leader's too, so that the leader serves four followers in place of 19. Smaller deployments stay as they are. Ruled out: a share of the link for updates, as a member that waits for its turn would take its source for silent.

--- a/dragonflyshelf/core/relay/followers.py
+++ b/dragonflyshelf/core/relay/followers.py
@@ -25,6 +25,13 @@
 LOAD_EXPIRY_SECONDS: Final = 1.2
 """Seconds for which a follower's load report is included in own reports."""
 
+MAX_DIRECT_INSTANCE_COUNT: Final = 16
+"""Number of instances up to which the leader serves its own data centre.
+
+It also sends the grants and renews the lease, which a long configuration
+for many followers must not hold up on its link.
+"""
+
 MAX_LOAD_COUNT: Final = 256
 """Maximum number of range loads in one update request."""
 
@@ -194,13 +201,18 @@
         follower.request = _without_unsent_revisions(follower.request, update)
 
     def _select_relay(self, link: Link, now: ids.Instant) -> addresses.Address:
-        """Return the relay for a follower in another data centre.
+        """Return the relay for a follower.
 
         The first follower of a data centre becomes its relay; it is
-        replaced when it is silent.
+        replaced when it is silent. The leader's own data centre has none
+        if there are few instances.
         """
         request = self._followers_by_link[link].request
-        if request.data_centre == self._instance_settings.data_centre:
+        has_few_instances = (
+            len(self._last_seen_by_instance) <= MAX_DIRECT_INSTANCE_COUNT
+        )
+        own_data_centre = self._instance_settings.data_centre
+        if has_few_instances and request.data_centre == own_data_centre:
             return addresses.NO_ADDRESS
         relay_link = self._relay_links_by_data_centre.get(request.data_centre)
         relay_follower = self._followers_by_link.get(relay_link)
--- a/dragonflyshelf/core/relay/relay_selector.py
+++ b/dragonflyshelf/core/relay/relay_selector.py
@@ -2,8 +2,9 @@
 
 A follower requests updates from the leader until the leader redirects
 it to a relay in the follower's own data centre. The leader thus serves
-one follower in each other data centre, and traffic between data centres
-does not grow with the number of instances.
+one follower in each other data centre, and one in its own if there are
+many instances. Neither its traffic nor that between data centres grows
+with their number.
 """
 
 from typing import Final
--- a/tests/core/relay/test_relay.py
+++ b/tests/core/relay/test_relay.py
@@ -326,6 +326,23 @@
             == addresses.NO_ADDRESS
         )
 
+    def test_narrow_link_of_a_leader_of_many(self) -> None:
+        """A leader of many instances has one follower a data centre."""
+        collection = self.make_followers()
+        names = [f"i{number}" for number in range(2, 34)]
+        for index, name in enumerate(names):
+            data_centre = ids.DataCentreId("ab"[index % 2])
+            collection.record_request(
+                name,
+                make_request(1, 0, name, data_centre=data_centre),
+                at(2.0),
+            )
+        relays = [
+            collection.next_update(name, True, at(2.1)).relay for name in names
+        ]
+        assert relays[:2] == [addresses.NO_ADDRESS] * 2
+        assert relays[2:] == [address("i2"), address("i3")] * 15
+
     def test_silent_relay_is_replaced(self) -> None:
         """The next follower to send a request replaces a silent relay."""
         collection = self.make_followers()
