Send an instance that has just started to its relay at once

Cause: the first update carries the relay's address and all objects. Evidence: test_first_request_of_a_member failed before. Now: the first update to an instance that lacks a kind and has a relay is empty but for its address; it asks there at once, not 0.4 s later. If the relay does not answer, the leader's next update has all. An update without kinds does not count as a sign of a sound source.

--- a/dragonflyshelf/core/relay/followers.py
+++ b/dragonflyshelf/core/relay/followers.py
@@ -50,6 +50,12 @@
     loads: tuple[grantor.RangeLoad, ...] = ()
     loads_reported_at: ids.Instant = ids.Instant(0.0)
 
+    @property
+    def has_just_started(self) -> bool:
+        """Return whether it lacks a kind and has been sent nothing yet."""
+        is_complete = all(known.revision for known in self.request.known)
+        return not self.sent_count and not is_complete
+
 
 class Followers:
     """Followers by link, and the instances known to be alive."""
@@ -166,8 +172,17 @@
     def next_update(
         self, link: Link, is_leading: bool, now: ids.Instant
     ) -> messages.Update:
-        """Return the changes not yet sent on a link, and mark them as sent."""
+        """Return the changes not yet sent on a link, and mark them as sent.
+
+        An instance that has just started is only told its relay at first.
+        """
         follower = self._followers_by_link[link]
+        relay = addresses.NO_ADDRESS
+        if is_leading:
+            relay = self._select_relay(link, now)
+        known = follower.request.known
+        if relay != addresses.NO_ADDRESS and follower.has_just_started:
+            known = ()
         instances = (
             self.instances(now) if is_leading else self._leader_instances
         )
@@ -178,14 +193,10 @@
         update = messages.Update(
             number=follower.request.number,
             kinds=updates.relayed_kinds(
-                self._replica, follower.request.known, follower.requested_at
+                self._replica, known, follower.requested_at
             ),
             instances=new_instances,
-            relay=(
-                self._select_relay(link, now)
-                if is_leading
-                else addresses.NO_ADDRESS
-            ),
+            relay=relay,
         )
         follower.request = _with_sent_revisions(follower.request, update)
         follower.sent_count += 1
--- a/dragonflyshelf/runtime/gateway/control.py
+++ b/dragonflyshelf/runtime/gateway/control.py
@@ -497,11 +497,15 @@
     def _on_update_received(
         self, message: relay_messages.UpdateReceived
     ) -> None:
-        self._watch_selector.record_update(self.now)
+        if message.update.kinds:
+            self._watch_selector.record_update(self.now)
+        former_address = self._relay_coordinator.source_address
         for event in self._relay_coordinator.apply_update(
             message.update, self.now
         ):
             self._apply(event, diagnostics.Source.UPDATE)
+        if self._relay_coordinator.source_address != former_address:
+            self._next_request_at = self.now
         if message.update.instances:
             self._instances = message.update.instances
             self._publish_instances(message.update.instances)
--- a/dragonflyshelf/runtime/gateway/relay_coordinator.py
+++ b/dragonflyshelf/runtime/gateway/relay_coordinator.py
@@ -9,6 +9,7 @@
 
 from absl import logging
 
+from dragonflyshelf.core import addresses
 from dragonflyshelf.core.grantor import messages as grantor
 from dragonflyshelf.core.grantor import objects as grantor_objects
 from dragonflyshelf.core import ids
@@ -86,6 +87,11 @@
         assert self.client is not None
         self.client.post(message)
 
+    @property
+    def source_address(self) -> addresses.Address | None:
+        """Return the address from which updates are requested, if any."""
+        return self._relay_selector.address
+
     @property
     def uses_relay(self) -> bool:
         """Return whether this instance follows a relay."""
--- a/tests/core/relay/test_relay.py
+++ b/tests/core/relay/test_relay.py
@@ -316,6 +316,27 @@
         assert first.relay == addresses.NO_ADDRESS
         assert second.relay == address("i2")
 
+    def test_first_request_of_a_member(self) -> None:
+        """An instance that knows nothing gets all from its relay."""
+        leader = replica.Replica()
+        leader.apply_list(objects.list_event(5, 1.0, objects.stored("a", 4)))
+        collection = followers.Followers(OWN_SETTINGS, leader)
+        remote = ids.DataCentreId("b")
+        for name in ("i2", "i3"):
+            collection.record_request(
+                name, make_request(1, 0, name, data_centre=remote), at(2.0)
+            )
+        assert collection.next_update("i2", True, at(2.0)).kinds
+        redirect = collection.next_update("i3", True, at(2.0))
+        assert redirect.relay == address("i2")
+        assert not redirect.kinds
+        collection.record_request(
+            "i3",
+            make_request(2, 0, "i3", data_centre=remote, received_count=1),
+            at(2.4),
+        )
+        assert collection.next_update("i3", True, at(2.4)).kinds
+
     def test_own_data_centre(self) -> None:
         """Followers in the leader's data centre are not redirected."""
         collection = self.make_followers()
