Leave updates without large objects as they are

Each update was built anew to look for large objects, and two functions of Followers differed in one name. Now: an update is rebuilt only if it has a large or a compressed object; one function selects revisions. No decision changes; tests of relay, codec and runtime pass.

--- a/dragonflyshelf/codec/compression.py
+++ b/dragonflyshelf/codec/compression.py
@@ -25,7 +25,7 @@
 
 def compress(update: messages.Update) -> messages.Update:
     """Return the update with its large objects compressed."""
-    return _with_changes(update, _compress_change)
+    return _with_changes(update, _is_large, _compress_change)
 
 
 def decompress(update: messages.Update) -> messages.Update:
@@ -33,27 +33,48 @@
 
     Raises ``BadRequest`` if an object is not valid or too large.
     """
-    return _with_changes(update, _decompress_change)
+    return _with_changes(update, _is_compressed, _decompress_change)
 
 
 def _with_changes(
     update: messages.Update,
+    is_concerned: abc.Callable[[messages.RelayedChange], bool],
     convert: abc.Callable[[messages.RelayedChange], messages.RelayedChange],
 ) -> messages.Update:
+    """Return the update with the changes converted that are concerned.
+
+    Most updates have no such change and are returned as they are.
+    """
+    if not any(
+        is_concerned(change)
+        for relayed in update.kinds
+        for change in relayed.changes
+    ):
+        return update
     kinds = tuple(
         dataclasses.replace(
-            relayed, changes=tuple(map(convert, relayed.changes))
+            relayed,
+            changes=tuple(
+                convert(change) if is_concerned(change) else change
+                for change in relayed.changes
+            ),
         )
         for relayed in update.kinds
     )
     return dataclasses.replace(update, kinds=kinds)
 
 
+def _is_large(change: messages.RelayedChange) -> bool:
+    return len(change.spec) >= MIN_COMPRESSED_BYTES
+
+
+def _is_compressed(change: messages.RelayedChange) -> bool:
+    return change.compressed
+
+
 def _compress_change(
     change: messages.RelayedChange,
 ) -> messages.RelayedChange:
-    if len(change.spec) < MIN_COMPRESSED_BYTES:
-        return change
     return dataclasses.replace(
         change, spec=_compress_spec(change.spec), compressed=True
     )
@@ -67,8 +88,6 @@
 def _decompress_change(
     change: messages.RelayedChange,
 ) -> messages.RelayedChange:
-    if not change.compressed:
-        return change
     return dataclasses.replace(
         change, spec=_decompress_spec(change.spec), compressed=False
     )
--- a/dragonflyshelf/core/relay/followers.py
+++ b/dragonflyshelf/core/relay/followers.py
@@ -11,6 +11,7 @@
 from dragonflyshelf.core.relay import messages
 from dragonflyshelf.core.relay import updates
 from dragonflyshelf.core import settings
+from dragonflyshelf.core.store import messages as store
 from dragonflyshelf.core.store import replica
 
 Link = Any
@@ -100,10 +101,11 @@
             link, Follower(request=request, requested_at=now)
         )
         if 0 <= request.received_count < follower.sent_count:
-            sent_known = follower.request.known
-            follower.request = _with_known(request, sent_known, max)
-        else:
-            follower.request = request
+            sent_by_kind = {
+                known.kind: known.revision for known in follower.request.known
+            }
+            request = _with_known(request, sent_by_kind, max)
+        follower.request = request
         follower.requested_at = now
         if request.loads:
             follower.loads = request.loads
@@ -198,7 +200,10 @@
             instances=new_instances,
             relay=relay,
         )
-        follower.request = _with_sent_revisions(follower.request, update)
+        sent_by_kind = {
+            relayed.kind: relayed.revision for relayed in update.kinds
+        }
+        follower.request = _with_known(follower.request, sent_by_kind, max)
         follower.sent_count += 1
         return update
 
@@ -209,7 +214,10 @@
             return
         follower.sent_count -= 1
         follower.sent_instances = ()
-        follower.request = _without_unsent_revisions(follower.request, update)
+        former_by_kind = {
+            relayed.kind: relayed.since for relayed in update.kinds
+        }
+        follower.request = _with_known(follower.request, former_by_kind, min)
 
     def _select_relay(self, link: Link, now: ids.Instant) -> addresses.Address:
         """Return the relay for a follower.
@@ -238,35 +246,12 @@
         return relay_follower.request.address
 
 
-def _with_sent_revisions(
-    request: messages.UpdateRequest, update: messages.Update
-) -> messages.UpdateRequest:
-    """Return the request with its revisions advanced by the update."""
-    sent = tuple(
-        messages.KnownRevision(kind=relayed.kind, revision=relayed.revision)
-        for relayed in update.kinds
-    )
-    return _with_known(request, sent, max)
-
-
-def _without_unsent_revisions(
-    request: messages.UpdateRequest, update: messages.Update
-) -> messages.UpdateRequest:
-    """Return the request with the revisions from before the update."""
-    former = tuple(
-        messages.KnownRevision(kind=relayed.kind, revision=relayed.since)
-        for relayed in update.kinds
-    )
-    return _with_known(request, former, min)
-
-
 def _with_known(
     request: messages.UpdateRequest,
-    others: tuple[messages.KnownRevision, ...],
+    revision_by_kind: abc.Mapping[store.ObjectKind, ids.Revision],
     select: abc.Callable[[ids.Revision, ids.Revision], ids.Revision],
 ) -> messages.UpdateRequest:
     """Return the request with each revision selected from the two known."""
-    revision_by_kind = {other.kind: other.revision for other in others}
     known = tuple(
         dataclasses.replace(
             known_revision,
