Load hypothesis' tables of characters before the tests that draw text

With an empty cache the first test that drew text paid for it, and its health check failed. Now: a fixture of the session loads them, in the modules that draw text. Health checks and strategies stay.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,6 +7,8 @@
 
 import pathlib
 
+import hypothesis
+from hypothesis import strategies
 import pytest
 
 KNOWN_RED_PATH = pathlib.Path(__file__).parent.parent / "KNOWN-RED.txt"
@@ -14,6 +16,16 @@
 TEST_PREFIX = "test:"
 
 
+@pytest.fixture(scope="session")
+def character_tables() -> None:
+    """Load the tables of characters of hypothesis before the first test.
+
+    The first text that is drawn loads them, which takes seconds on a busy
+    machine and would count as slow generation by that test.
+    """
+    hypothesis.find(strategies.text(), lambda value: True)
+
+
 def listed_tests() -> frozenset[str]:
     """Return the node ids of the tests that may fail."""
     if not KNOWN_RED_PATH.exists():
--- a/tests/core/language/test_parser.py
+++ b/tests/core/language/test_parser.py
@@ -10,6 +10,8 @@
 from dragonflyshelf.core import states
 from tests.core.language import strategies
 
+pytestmark = pytest.mark.usefixtures("character_tables")
+
 DETERMINISTIC = hypothesis.settings(
     derandomize=True, deadline=None, max_examples=300, database=None
 )
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -14,6 +14,8 @@
 from dragonflyshelf.platform import objects
 from stand_ins import configuration
 
+pytestmark = pytest.mark.usefixtures("character_tables")
+
 RECORD = {
     "Service": "letters",
     "Address": "10.0.0.9:8080",
