End a withheld response after 256 chunks

Cause: the body was limited to 64 KiB only, and each of up to four attempts parsed 22,000 chunks before that, in which time the loop stood for everyone. The size of what is read was limited, but not the work of reading it.

A withheld body now ends after 256 chunks too.

--- a/dragonflyshelf/runtime/upstreams/connection.py
+++ b/dragonflyshelf/runtime/upstreams/connection.py
@@ -56,6 +56,12 @@
 MAX_WITHHELD_BODY_BYTES: Final = 64 * 1024
 """Size from which the rest of a withheld body is not read."""
 
+MAX_WITHHELD_CHUNK_COUNT: Final = 256
+"""Chunks of a withheld body after which the rest is not read.
+
+Each one takes time to parse, however short it is.
+"""
+
 WITHHELD_BODY_SECONDS: Final = 0.3
 """Time from the head after which a withheld body is not awaited."""
 
@@ -129,6 +135,7 @@
         self._response_started = False
         self._withheld_reason: WithheldReason | None = None
         self._withheld_bytes = 0
+        self._withheld_chunk_count = 0
         self._informational_count = 0
         self._status = 0
         self._load_report: upstreams.LoadReport | None = None
@@ -335,9 +342,16 @@
             self._on_response_data(attempt, data)
             return
         self._withheld_bytes += len(data)
-        if self._withheld_bytes > MAX_WITHHELD_BODY_BYTES:
+        self._withheld_chunk_count += 1
+        if self._is_withheld_body_too_long():
             self._on_response_end(attempt)
 
+    def _is_withheld_body_too_long(self) -> bool:
+        return (
+            self._withheld_bytes > MAX_WITHHELD_BODY_BYTES
+            or self._withheld_chunk_count > MAX_WITHHELD_CHUNK_COUNT
+        )
+
     def _on_response(
         self, attempt: runtime_messages.StartAttempt, event: h11.Response
     ) -> None:
