Limit the chunks of responses to calls of our own

The number of chunks is limited with the length, to one for 256 bytes. The new test did not raise before ("DID NOT RAISE") and passes now; a body of 64 KiB or 16 MiB in chunks of the usual size is not concerned.

--- a/dragonflyshelf/runtime/http_client.py
+++ b/dragonflyshelf/runtime/http_client.py
@@ -20,6 +20,12 @@
 MAX_INFORMATIONAL_RESPONSE_COUNT: Final = 8
 """Informational responses to a call after which it fails."""
 
+MEAN_CHUNK_BYTES: Final = 256
+"""Mean size of chunks on which the limit of their number is based.
+
+Each chunk takes time to parse, however short it is.
+"""
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class HttpResponse:
@@ -35,7 +41,8 @@
 
     Socket errors are raised as ``OSError`` and invalid responses as
     ``h11.RemoteProtocolError``, also those whose body is longer than
-    ``max_body_bytes``. The caller sets the timeout of a call.
+    ``max_body_bytes`` or has too many chunks for that length. The caller
+    sets the timeout of a call.
     """
 
     def __init__(
@@ -48,6 +55,7 @@
         self._host = host
         self._port = port
         self._max_body_bytes = max_body_bytes
+        self._max_chunk_count = max_body_bytes // MEAN_CHUNK_BYTES
         self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
         self._http = h11.Connection(h11.CLIENT)
@@ -148,9 +156,13 @@
                     )
             elif isinstance(event, h11.Data):
                 body_size += len(event.data)
+                body_chunks.append(bytes(event.data))
                 if body_size > self._max_body_bytes:
                     raise h11.RemoteProtocolError("response body is too long")
-                body_chunks.append(bytes(event.data))
+                if len(body_chunks) > self._max_chunk_count:
+                    raise h11.RemoteProtocolError(
+                        "response body has too many chunks"
+                    )
             elif isinstance(event, h11.EndOfMessage):
                 break
         assert response_head is not None
--- a/tests/runtime/test_http_client.py
+++ b/tests/runtime/test_http_client.py
@@ -93,3 +93,24 @@
     def test_response_without_end(self, name: str) -> None:
         """It fails without waiting for the caller's timeout."""
         asyncio.run(self.async_check(*ENDLESS_RESPONSES[name]))
+
+    def test_body_of_tiny_chunks(self) -> None:
+        """Parsing them held up the loop long before the limit in bytes."""
+        tiny_chunk_count = MAX_BODY_BYTES // 16
+        body = b"3\r\nabc\r\n" * tiny_chunk_count + b"0\r\n\r\n"
+
+        async def async_serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(CHUNKED_HEAD + body)
+
+        async def async_check() -> None:
+            server = await asyncio.start_server(async_serve, HOST, 0)
+            async with server, asyncio.timeout(20):
+                port = server.sockets[0].getsockname()[1]
+                client = http_client.HttpClient(HOST, port, MAX_BODY_BYTES)
+                with pytest.raises(h11.RemoteProtocolError):
+                    await client.async_call("POST", "/-/x", b"{}")
+
+        asyncio.run(async_check())
