Derive lease, ages and shutdown from the promises of the deployment

What callers would see: DRAIN and CONFIG where a deployment promises less than the constants of the code add up to. On the sites of today, which promise 2 s, a member of a relay read the store itself when its lease was 2.0 s old, and a tick and a read later knew of the change; that needs a leader and a relay that the store refuses at once. longest_age, ready_age and the deadline of the shutdown were constants that fit one RevokeS, ContactS and GraceS.

Class: bounds in the code instead of the deployment. The template passes the bounds on, [promises] holds them, and core/promises.py is the one place that limits the durations of other sections by them; the selector reads the store 0.25 s before a promise ends. `check` refuses a promise that lease, relay and read can't keep.

On both sites of today and both grown ones only one figure changes: 1.75 s in place of 2.0 s for members of a relay on today's. The new test of the selector failed with the landed decision. test_member_of_a_relay now names the promises for which its ages hold (2.5 s); the case of 2 s is its own test.

--- a/dragonflyshelf/codec/ini.py
+++ b/dragonflyshelf/codec/ini.py
@@ -9,6 +9,7 @@
 import iniconfig
 
 from dragonflyshelf.core import errors
+from dragonflyshelf.core import promises
 from dragonflyshelf.core import ranges
 from dragonflyshelf.core import settings
 from dragonflyshelf.core import settings_rules
@@ -42,7 +43,7 @@
 
 
 def parse(path: str, text: str) -> settings.Settings:
-    """Return the settings in the text of a file.
+    """Return the settings in the text of a file, limited by its promises.
 
     ``path`` is used in messages. Raises ``InvalidSettingsFile`` with all
     problems of the file.
@@ -62,7 +63,7 @@
     result = reader.read()
     if reader.problems:
         raise InvalidSettingsFile(reader.problems)
-    return result
+    return promises.limit(result)
 
 
 class _Reader:
--- a/dragonflyshelf/core/relay/watch_selector.py
+++ b/dragonflyshelf/core/relay/watch_selector.py
@@ -49,6 +49,9 @@
 RELAY_DELAY_SECONDS: Final = 0.5
 """Time by which the lease known through a relay is older."""
 
+DIRECT_READ_SECONDS: Final = 0.25
+"""Time from the age at which the store is read until its state is known."""
+
 TAKEOVER_SECONDS: Final = 0.3
 """Seconds after the end of a lease in which another instance acquires it.
 
@@ -79,14 +82,20 @@
     that receives no updates watches all. Other followers watch none, as
     that would repeat calls that the leader makes already. A follower of a
     leader that no longer renews its lease watches the lease, and then all
-    kinds: such a leader does not see changes either. A follower whose
+    kinds, early enough for the promised times: such a leader does not see
+    changes either. A follower whose
     replica is too old watches the configuration and the lease. An instance
     that has just started watches the lease to find a leader.
     """
 
-    def __init__(self, config: settings.LeadershipSettings) -> None:
+    def __init__(
+        self,
+        leadership: settings.LeadershipSettings,
+        promises: settings.PromiseSettings,
+    ) -> None:
         """Create a selector that has received no update."""
-        self._config = config
+        self._lease_seconds = leadership.lease
+        self._max_unwatched_age = promises.change - DIRECT_READ_SECONDS
         self._updated_at = ids.Instant(0.0)
         self._watch_all_until = ids.Instant(0.0)
         self._freshness_watch_until = ids.Instant(0.0)
@@ -122,15 +131,17 @@
         """Return whether updates are missing or come from a former leader."""
         if now - self._updated_at > UPDATE_TIMEOUT_SECONDS:
             return True
-        overdue_seconds = self._lease_overdue_seconds(state)
-        return self._has_update and overdue_seconds > TAKEOVER_SECONDS
+        max_age = min(
+            self._max_lease_age(state) + TAKEOVER_SECONDS,
+            self._max_unwatched_age,
+        )
+        return self._has_update and state.lease_age > max_age
 
-    def _lease_overdue_seconds(self, state: ReplicaState) -> float:
-        """Return for how long the lease may have ended; negative if valid."""
-        max_age = self._config.lease
+    def _max_lease_age(self, state: ReplicaState) -> float:
+        """Return the age in seconds up to which the lease is valid."""
         if state.uses_relay:
-            max_age += RELAY_DELAY_SECONDS
-        return state.lease_age - max_age
+            return self._lease_seconds + RELAY_DELAY_SECONDS
+        return self._lease_seconds
 
     def _kinds_with_updates(
         self, state: ReplicaState, now: ids.Instant
@@ -143,7 +154,7 @@
         can reach the store, has become leader.
         """
         watch_until = ids.Instant(now + MIN_DIRECT_WATCH_SECONDS)
-        if self._lease_overdue_seconds(state) > 0:
+        if state.lease_age > self._max_lease_age(state):
             self._lease_watch_until = watch_until
         max_age = MEMBER_DIRECT_WATCH_AGE_SECONDS
         if state.is_relay:
--- a/dragonflyshelf/core/settings.py
+++ b/dragonflyshelf/core/settings.py
@@ -187,6 +187,30 @@
     clock_rate: Annotated[float, ranges.Range(minimum=0, maximum=0.2)] = 0.02
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PromiseSettings:
+    """Section ``promises``: times in which operators rely on an effect.
+
+    A configuration is in force ``apply`` seconds after its change, and a
+    leaving upstream gets no requests ``drain`` seconds after it said so.
+    A withdrawn caller key is refused after ``revoke`` seconds. An instance
+    that can't reach the store is not used after ``contact`` seconds, and
+    a process is killed ``grace`` seconds after SIGTERM. Durations of other
+    sections are limited so that these hold.
+    """
+
+    apply: Annotated[float, DURATION_RANGE] = 2.0
+    contact: Annotated[float, DURATION_RANGE] = 3.0
+    drain: Annotated[float, DURATION_RANGE] = 2.0
+    grace: Annotated[float, DURATION_RANGE] = 30.0
+    revoke: Annotated[float, DURATION_RANGE] = 5.0
+
+    @property
+    def change(self) -> float:
+        """Return the seconds in which any change is in force."""
+        return min(self.apply, self.drain)
+
+
 RELOADABLE_SECTIONS: Final = ("freshness", "log", "requests", "retries")
 """Sections that can be changed without a restart."""
 
@@ -201,6 +225,7 @@
     grants: GrantSettings = GrantSettings()
     leadership: LeadershipSettings = LeadershipSettings()
     log: LogSettings = LogSettings()
+    promises: PromiseSettings = PromiseSettings()
     requests: RequestSettings = RequestSettings()
     retries: RetrySettings = RetrySettings()
     shutdown: ShutdownSettings = ShutdownSettings()
--- a/dragonflyshelf/core/settings_rules.py
+++ b/dragonflyshelf/core/settings_rules.py
@@ -5,6 +5,7 @@
 import re
 from typing import Final
 
+from dragonflyshelf.core import promises
 from dragonflyshelf.core import registry
 from dragonflyshelf.core import settings
 
@@ -52,6 +53,14 @@
         yield Violation(section=section, option=option, message=message)
 
 
+def _check_at_least(
+    section: str, option: str, value: float, bound: float, text: str
+) -> abc.Iterable[Violation]:
+    if value < bound:
+        message = f"{value:g} is less than {text} ({bound:g})"
+        yield Violation(section=section, option=option, message=message)
+
+
 @RULES.register("names")
 def _names(config: settings.Settings) -> abc.Iterable[Violation]:
     values = dataclasses.asdict(config.instance)
@@ -113,6 +122,25 @@
     )
 
 
+@RULES.register("promises")
+def _promises(config: settings.Settings) -> abc.Iterable[Violation]:
+    """Report promises that can't be kept."""
+    confirmation_seconds = config.store.watch_wait * MIN_WATCH_WAIT_COUNT
+    for option, bound, text in (
+        ("apply", promises.MIN_CHANGE_SECONDS, "lease, relay and read take"),
+        ("drain", promises.MIN_CHANGE_SECONDS, "lease, relay and read take"),
+        ("contact", confirmation_seconds, "two watch waits"),
+        (
+            "revoke",
+            confirmation_seconds + promises.REVOCATION_MARGIN_SECONDS,
+            "two watch waits and a request take",
+        ),
+        ("grace", 2 * promises.EXIT_SECONDS, "the end of a process takes"),
+    ):
+        value = getattr(config.promises, option)
+        yield from _check_at_least("promises", option, value, bound, text)
+
+
 @RULES.register("requests")
 def _requests(config: settings.Settings) -> abc.Iterable[Violation]:
     yield from _check_at_most(
--- a/dragonflyshelf/runtime/gateway/control.py
+++ b/dragonflyshelf/runtime/gateway/control.py
@@ -106,7 +106,9 @@
         self._relay_coordinator = relay_coordinator.RelayCoordinator(
             config, own_lease, self._replica
         )
-        self._watch_selector = watch_selector.WatchSelector(config.leadership)
+        self._watch_selector = watch_selector.WatchSelector(
+            config.leadership, config.promises
+        )
         self._watched_kinds: abc.Set[Kind] = watch_selector.NO_KINDS
         self._instances: tuple[ids.InstanceId, ...] = ()
         self._next_request_at = ids.Instant(0.0)
--- a/tests/codec/test_settings_reference.py
+++ b/tests/codec/test_settings_reference.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import pathlib
+import re
 
 import pytest
 
@@ -55,7 +56,30 @@
     "Bounds.RetryBudgetRatio": "0.2",
     "Bounds.RetryBudgetSlack": "56",
     "Bounds.BudgetWindowS": "10",
+    "Bounds.ConfigApplyS": "2.5",
+    "Bounds.ContactS": "3",
+    "Bounds.DrainS": "2",
+    "Bounds.GraceS": "6",
+    "Bounds.RevokeS": "5",
 }
+REQUIRED_BOUNDS = [
+    "Bounds.RetryBudgetRatio",
+    "Bounds.RetryBudgetSlack",
+    "Bounds.BudgetWindowS",
+]
+SECTION_PATTERN = re.compile(r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}", re.DOTALL)
+"""Part of a template that is rendered if a value is present."""
+
+
+def render_template(value_by_placeholder: dict[str, str]) -> str:
+    """Return the settings file that the platform makes of the template."""
+    text = SECTION_PATTERN.sub(
+        lambda match: match[2] if match[1] in value_by_placeholder else "",
+        TEMPLATE.read_text(encoding="utf-8"),
+    )
+    for name, value in value_by_placeholder.items():
+        text = text.replace("{{%s}}" % name, value)
+    return text
 
 
 class TestTemplate:
@@ -63,11 +87,26 @@
 
     def test_rendered(self) -> None:
         """All placeholders are known, and the result is valid."""
-        text = TEMPLATE.read_text(encoding="utf-8")
-        for name, value in VALUES_BY_PLACEHOLDER.items():
-            text = text.replace("{{%s}}" % name, value)
+        text = render_template(VALUES_BY_PLACEHOLDER)
         assert "{{" not in text
         parsed = ini.parse("local.ini", text)
         assert parsed.entry.callers == "10.1.0.24:8045"
         assert parsed.store.address == "10.200.1.7:8041"
         assert (parsed.retries.share, parsed.retries.window) == (0.2, 10.0)
+        assert (parsed.promises.apply, parsed.promises.drain) == (2.5, 2.0)
+        assert (parsed.shutdown.settle, parsed.shutdown.deadline) == (2.3, 5.6)
+
+    def test_deployment_without_promises(self) -> None:
+        """A deployment that promises nothing gets the defaults."""
+        parsed = ini.parse(
+            "local.ini",
+            render_template(
+                {
+                    name: value
+                    for name, value in VALUES_BY_PLACEHOLDER.items()
+                    if not name.startswith("Bounds.")
+                    or name in REQUIRED_BOUNDS
+                }
+            ),
+        )
+        assert parsed.promises == settings.PromiseSettings()
--- a/tests/core/relay/test_relay.py
+++ b/tests/core/relay/test_relay.py
@@ -32,6 +32,10 @@
 
 
 LEADERSHIP = settings.LeadershipSettings()
+PROMISES = settings.PromiseSettings(apply=2.5, drain=2.5)
+SHORT_PROMISES = settings.PromiseSettings(apply=2.0, drain=2.0)
+TICK_SECONDS = 0.1
+"""Interval at which the selector is asked."""
 
 
 def address(name: str) -> addresses.Address:
@@ -488,7 +492,7 @@
 
 def make_watch_selector() -> watch_selector.WatchSelector:
     """Return a selector with the usual lease."""
-    return watch_selector.WatchSelector(LEADERSHIP)
+    return watch_selector.WatchSelector(LEADERSHIP, PROMISES)
 
 
 def make_state(
@@ -633,6 +637,20 @@
             )
             assert selector.select_kinds(state, at(5.1)) == kinds
 
+    def test_drain_seen_late_behind_a_refused_relay(self) -> None:
+        """Leader and relay lost the store: a member read it after 2.1 s."""
+        selector = watch_selector.WatchSelector(LEADERSHIP, SHORT_PROMISES)
+        selector.start(at(0.0))
+        selector.record_update(at(5.0))
+        read_seconds = watch_selector.DIRECT_READ_SECONDS - TICK_SECONDS
+        state = make_state(
+            age=0.5,
+            lease_age=SHORT_PROMISES.drain - read_seconds,
+            uses_relay=True,
+        )
+        kinds = selector.select_kinds(state, at(5.1))
+        assert kinds == watch_selector.ALL_KINDS
+
     def test_new_leader(self) -> None:
         """With a lease that is renewed again the watches end."""
         selector = self.make_selector()
