Run no finalizers while tests parse source code

Seen: "SystemError: AST constructor recursion depth mismatch" from ast.parse in test_layout after the tests of whole instances, and today as an INTERNALERROR of pytest that hid why a test failed. Cause: a garbage collection within ast.parse runs the finalizer of an unclosed transport, whose warning has a traceback, which parses source lines; Python 3.11 counts the depth of both parses in one place.

The collection is paused for the parse and for the report of a test.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,12 +5,15 @@
 with ``test:`` and the node id of the test.
 """
 
+from collections import abc
 import pathlib
 
 import hypothesis
 from hypothesis import strategies
 import pytest
 
+from tests import collection
+
 KNOWN_RED_PATH = pathlib.Path(__file__).parent.parent / "KNOWN-RED.txt"
 FAULT_PREFIX = "fault:"
 TEST_PREFIX = "test:"
@@ -54,6 +57,15 @@
             item.add_marker(pytest.mark.xfail(reason="KNOWN-RED.txt"))
 
 
+@pytest.hookimpl(wrapper=True)
+def pytest_runtest_makereport() -> (
+    abc.Generator[None, pytest.TestReport, pytest.TestReport]
+):
+    """Build the report of a test, which parses the source of a failure."""
+    with collection.collection_paused():
+        return (yield)
+
+
 def pytest_terminal_summary(
     terminalreporter: pytest.TerminalReporter,
 ) -> None:
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -6,6 +6,8 @@
 
 import pytest
 
+from tests import collection
+
 PACKAGE = pathlib.Path(__file__).parent.parent / "dragonflyshelf"
 FORBIDDEN_IN_CORE = frozenset(
     {
@@ -39,7 +41,9 @@
 def imported_names(path: pathlib.Path) -> set[str]:
     """Return the qualified names that a module imports."""
     names = set()
-    for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+    with collection.collection_paused():
+        tree = ast.parse(path.read_text(encoding="utf-8"))
+    for node in ast.walk(tree):
         if isinstance(node, ast.Import):
             names.update(alias.name for alias in node.names)
         elif isinstance(node, ast.ImportFrom):
