Don't return an attempt as unsent that has just been sent

What callers could see: TWICE, an order that runs at two upstreams. If an upstream's leaving and the end of connecting fall into one pass of the loop, connecting is done and its attempt sent, but its callback has not run yet; the pool then cancelled a finished task, which does nothing, and reported the attempt as unsent, so that it was sent elsewhere too. If connecting had failed, the attempt was reported twice, and the second report ended the next attempt of the request, which was under way.

Four tests failed before and pass now: only attempts whose connecting was really cancelled are returned.

--- a/dragonflyshelf/runtime/upstreams/pool.py
+++ b/dragonflyshelf/runtime/upstreams/pool.py
@@ -141,13 +141,17 @@
         self._return_unsent_attempts()
 
     def _return_unsent_attempts(self) -> None:
-        """Return the attempts that wait for a connection to the router."""
+        """Return the attempts that wait for a connection to the router.
+
+        Connecting that is done already has sent its attempt or reported
+        the failure, though its callback has not run yet.
+        """
         unsent_attempts = list(self._queued_attempts)
         self._queued_attempts.clear()
-        for pending in self._pending_by_exchange.values():
-            pending.connect_task.cancel()
-            unsent_attempts.append(pending.attempt)
-        self._pending_by_exchange.clear()
+        for pending in list(self._pending_by_exchange.values()):
+            if pending.connect_task.cancel():
+                del self._pending_by_exchange[pending.attempt.exchange]
+                unsent_attempts.append(pending.attempt)
         for attempt in unsent_attempts:
             error = errors.UpstreamDeclined(
                 "upstream leaves, request not sent yet",
--- a/tests/runtime/upstreams/test_pool.py
+++ b/tests/runtime/upstreams/test_pool.py
@@ -4,6 +4,7 @@
 from collections import abc
 import contextlib
 import dataclasses
+import typing
 
 import pytest
 
@@ -148,3 +149,63 @@
                 assert harness.received_targets == []
 
         asyncio.run(async_run())
+
+    @pytest.mark.parametrize("leaving", LEAVING_MESSAGES)
+    def test_attempt_whose_connection_was_just_opened(
+        self, leaving: object
+    ) -> None:
+        """TWICE: it was sent, and returned as unsent and sent elsewhere."""
+
+        async def async_run() -> None:
+            async with async_run_pool() as harness:
+                async_connect = harness.task._async_connect
+
+                async def async_connect_as_upstream_leaves(
+                    *arguments: typing.Any,
+                ) -> None:
+                    await async_connect(*arguments)
+                    harness.task.inbox.post(leaving)
+
+                harness.task._async_connect = (  # type: ignore[method-assign]
+                    async_connect_as_upstream_leaves
+                )
+                harness.may_respond.set()
+                harness.start(1)
+                ended = await harness.async_attempt_ended()
+                assert ended.result is state.AttemptResult.RESPONDED
+                assert harness.received_targets == [b"/letters/1"]
+                assert not harness.router
+
+        asyncio.run(async_run())
+
+    @pytest.mark.parametrize("leaving", LEAVING_MESSAGES)
+    def test_attempt_whose_connection_just_failed(
+        self, leaving: object
+    ) -> None:
+        """It is reported once: the second report ended another attempt."""
+
+        async def async_run() -> None:
+            async with async_run_pool() as harness:
+
+                async def async_fail_as_upstream_leaves(
+                    connection_task: typing.Any,
+                    attempt: runtime_messages.StartAttempt,
+                ) -> None:
+                    harness.task.inbox.post(leaving)
+                    harness.task.inbox.post(
+                        pool.ConnectFailed(
+                            connection=connection_task,
+                            attempt=attempt,
+                            error="refused",
+                        )
+                    )
+
+                harness.task._async_connect = (  # type: ignore[method-assign]
+                    async_fail_as_upstream_leaves
+                )
+                harness.start(1)
+                await harness.async_attempt_ended()
+                await asyncio.sleep(0.05)
+                assert not harness.router
+
+        asyncio.run(async_run())
