Split withheld responses and the log line of plans out of large modules

runtime/upstreams/connection.py held the choice, the limits and the errors of responses that do not go to the caller beside the exchange itself; control.py formatted a log line among its handlers. No behaviour changes.

--- a/dragonflyshelf/runtime/gateway/control.py
+++ b/dragonflyshelf/runtime/gateway/control.py
@@ -49,9 +49,6 @@
 The leader requests the load from its own router at this interval.
 """
 
-MAX_LOGGED_MOVE_COUNT: Final = 8
-"""Maximum number of moves that the log line of a shard plan lists."""
-
 MEASUREMENT_INTERVAL_SECONDS: Final = 0.8
 """Interval at which an instance reports its loads and service times."""
 
@@ -395,24 +392,9 @@
     @EFFECT_HANDLERS.register(grantor.WriteControl)
     def _write_control(self, effect: grantor.WriteControl) -> None:
         if isinstance(effect.value, grantor_objects.ShardPlan):
-            self._log_plan(effect.value)
+            diagnostics.log_plan(effect.value)
         self._inboxes.write.post(effect)
 
-    def _log_plan(self, plan: grantor_objects.ShardPlan) -> None:
-        """Log the ranges that a plan moves, in one line."""
-        moves = [
-            f"{assignment.first}-{assignment.last}:"
-            f" {assignment.former_upstream} to {assignment.upstream}"
-            for assignment in plan.assignments
-            if not assignment.is_settled
-        ]
-        _LOGGER.info(
-            "plan of %s has %d ranges, moving %s",
-            plan.service,
-            len(plan.assignments),
-            "; ".join(moves[:MAX_LOGGED_MOVE_COUNT]) or "none",
-        )
-
     @EFFECT_HANDLERS.register(grantor.GrantRange)
     def _grant_range(self, effect: grantor.GrantRange) -> None:
         self._inboxes.grants.post(effect)
--- a/dragonflyshelf/runtime/gateway/diagnostics.py
+++ b/dragonflyshelf/runtime/gateway/diagnostics.py
@@ -25,6 +25,9 @@
 LATE_LOG_INTERVAL_SECONDS: Final = 1.0
 """Minimum interval between two log lines about late ticks."""
 
+MAX_LOGGED_MOVE_COUNT: Final = 8
+"""Maximum number of moves that the log line of a shard plan lists."""
+
 MAX_LOGGED_UPSTREAM_COUNT: Final = 8
 """Maximum number of upstreams that one log line lists."""
 
@@ -47,6 +50,22 @@
     UPDATE = "update"
 
 
+def log_plan(plan: grantor.ShardPlan) -> None:
+    """Log the ranges that a plan moves, in one line."""
+    moves = [
+        f"{assignment.first}-{assignment.last}:"
+        f" {assignment.former_upstream} to {assignment.upstream}"
+        for assignment in plan.assignments
+        if not assignment.is_settled
+    ]
+    _LOGGER.info(
+        "plan of %s has %d ranges, moving %s",
+        plan.service,
+        len(plan.assignments),
+        "; ".join(moves[:MAX_LOGGED_MOVE_COUNT]) or "none",
+    )
+
+
 def log_configuration(
     configuration: routing.Configuration,
     source: Source,
--- a/dragonflyshelf/runtime/upstreams/connection.py
+++ b/dragonflyshelf/runtime/upstreams/connection.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import dataclasses
-import enum
 import re
 from typing import Final
 
@@ -20,6 +19,7 @@
 from dragonflyshelf.runtime import messages as runtime_messages
 from dragonflyshelf.runtime import sockets
 from dragonflyshelf.runtime import task
+from dragonflyshelf.runtime.upstreams import withheld
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -53,15 +53,6 @@
 MAX_INFORMATIONAL_RESPONSE_COUNT: Final = 8
 """Informational responses to a request after which it fails."""
 
-MAX_WITHHELD_BODY_BYTES: Final = 64 * 1024
-"""Size from which the rest of a withheld body is not read."""
-
-MAX_WITHHELD_CHUNK_COUNT: Final = 256
-"""Chunks of a withheld body after which the rest is not read.
-
-Each one takes time to parse, however short it is.
-"""
-
 WITHHELD_BODY_SECONDS: Final = 0.3
 """Time from the head after which a withheld body is not awaited."""
 
@@ -71,28 +62,12 @@
 After that, the connection fails the attempt itself.
 """
 
-
-class WithheldReason(enum.Enum):
-    """Why a response goes to the router instead of the origin."""
-
-    SERVER_ERROR = "failure"
-    NOT_HOLDER = "not_holder"
-    DECLINED = "refusal"
-
-
-MIN_SERVER_ERROR_STATUS: Final = 500
 SUCCESS_STATUSES: Final = range(200, 300)
 """Statuses whose responses must be signed if upstreams sign."""
 
 KEEP_ALIVE_TIMEOUT_PATTERN: Final = re.compile(rb"timeout=(\d+)")
 """Parameter of the ``Keep-Alive`` header, in seconds."""
 
-RESULT_BY_WITHHELD_REASON: Final = {
-    WithheldReason.SERVER_ERROR: state.AttemptResult.FAILED,
-    WithheldReason.NOT_HOLDER: state.AttemptResult.NOT_HOLDER,
-    WithheldReason.DECLINED: state.AttemptResult.DECLINED,
-}
-
 
 class UpstreamConnectionTask(task.Task):
     """Processes one exchange at a time on one connection.
@@ -133,9 +108,7 @@
     def _reset_response_state(self) -> None:
         self._request_sent = False
         self._response_started = False
-        self._withheld_reason: WithheldReason | None = None
-        self._withheld_bytes = 0
-        self._withheld_chunk_count = 0
+        self._withheld: withheld.WithheldResponse | None = None
         self._informational_count = 0
         self._status = 0
         self._load_report: upstreams.LoadReport | None = None
@@ -264,10 +237,7 @@
 
     def _outcome(self) -> states.Outcome:
         """Return whether the request was executed, if the attempt ends now."""
-        if self._withheld_reason in (
-            WithheldReason.NOT_HOLDER,
-            WithheldReason.DECLINED,
-        ):
+        if self._withheld is not None and self._withheld.is_not_run:
             return states.Outcome.NOT_RUN
         if self._request_sent:
             return states.Outcome.UNKNOWN
@@ -338,20 +308,13 @@
     def _on_data(
         self, attempt: runtime_messages.StartAttempt, data: bytes
     ) -> None:
-        if self._withheld_reason is None:
+        if self._withheld is None:
             self._on_response_data(attempt, data)
             return
-        self._withheld_bytes += len(data)
-        self._withheld_chunk_count += 1
-        if self._is_withheld_body_too_long():
+        self._withheld.add_chunk(data)
+        if self._withheld.is_too_long:
             self._on_response_end(attempt)
 
-    def _is_withheld_body_too_long(self) -> bool:
-        return (
-            self._withheld_bytes > MAX_WITHHELD_BODY_BYTES
-            or self._withheld_chunk_count > MAX_WITHHELD_CHUNK_COUNT
-        )
-
     def _on_response(
         self, attempt: runtime_messages.StartAttempt, event: h11.Response
     ) -> None:
@@ -367,8 +330,11 @@
             values_by_name.get(self._header_names.load, b"")
         )
         self._update_keep_alive(values_by_name.get(b"keep-alive", b""))
-        self._withheld_reason = self._find_withheld_reason(attempt, event)
-        if self._withheld_reason is not None:
+        reason = withheld.find_reason(
+            self._header_names, event, attempt.withhold_server_errors
+        )
+        if reason is not None:
+            self._withheld = withheld.WithheldResponse(reason, self._status)
             self._withheld_timer = self.post_later(
                 WITHHELD_BODY_SECONDS,
                 WithheldBodyOverdue(exchange=attempt.exchange),
@@ -415,21 +381,6 @@
         if match is not None:
             self.keep_alive_seconds = float(match.group(1))
 
-    def _find_withheld_reason(
-        self, attempt: runtime_messages.StartAttempt, event: h11.Response
-    ) -> WithheldReason | None:
-        if http.is_not_run_response(self._header_names, event):
-            if event.status_code == http.STATUS_MISDIRECTED:
-                return WithheldReason.NOT_HOLDER
-            return WithheldReason.DECLINED
-        if event.status_code < MIN_SERVER_ERROR_STATUS:
-            return None
-        return (
-            WithheldReason.SERVER_ERROR
-            if attempt.withhold_server_errors
-            else None
-        )
-
     def _on_response_data(
         self, attempt: runtime_messages.StartAttempt, data: bytes
     ) -> None:
@@ -447,32 +398,19 @@
         """Report the response, whose body has ended or is withheld."""
         error: errors.RouterError | None = None
         result = state.AttemptResult.RESPONDED
-        if self._withheld_reason is None:
+        if self._withheld is None:
             attempt.origin.post(
                 messages.ResponseEnd(exchange=attempt.exchange)
             )
-            if self._status >= MIN_SERVER_ERROR_STATUS:
+            if self._status >= withheld.MIN_SERVER_ERROR_STATUS:
                 result = state.AttemptResult.FAILED
         else:
-            result = RESULT_BY_WITHHELD_REASON[self._withheld_reason]
-            error = self._make_withheld_error(self._withheld_reason)
+            result = self._withheld.result
+            error = self._withheld.make_error(self._upstream_id)
         self._report_attempt_end(result, error)
         self._attempt = None
         self._reuse_or_close()
 
-    def _make_withheld_error(
-        self, reason: WithheldReason
-    ) -> errors.RouterError:
-        text = f"upstream returned status {self._status}"
-        if reason is WithheldReason.SERVER_ERROR:
-            outcome = states.Outcome.UNKNOWN
-            return errors.UpstreamServerError(
-                text, peer=self._upstream_id, outcome=outcome
-            )
-        if reason is WithheldReason.NOT_HOLDER:
-            return errors.ShardKeyNotHeld(text, peer=self._upstream_id)
-        return errors.UpstreamDeclined(text, peer=self._upstream_id)
-
     def _return_credit(self, size: int) -> None:
         self._pending_credit += size
         attempt = self._attempt
--- /dev/null
+++ b/dragonflyshelf/runtime/upstreams/withheld.py
@@ -0,0 +1,99 @@
+"""Responses of an upstream that do not go to the origin of the request."""
+
+import enum
+from typing import Final
+
+import h11
+
+from dragonflyshelf.codec import http
+from dragonflyshelf.core import errors
+from dragonflyshelf.core import ids
+from dragonflyshelf.core import states
+from dragonflyshelf.core.upstreams import state
+
+MAX_BODY_BYTES: Final = 64 * 1024
+"""Size from which the rest of a body is not read."""
+
+MAX_CHUNK_COUNT: Final = 256
+"""Chunks of a body after which the rest is not read.
+
+Each one takes time to parse, however short it is.
+"""
+
+MIN_SERVER_ERROR_STATUS: Final = 500
+
+
+class Reason(enum.Enum):
+    """Why a response goes to the router instead of the origin."""
+
+    SERVER_ERROR = "failure"
+    NOT_HOLDER = "not_holder"
+    DECLINED = "refusal"
+
+
+RESULT_BY_REASON: Final = {
+    Reason.SERVER_ERROR: state.AttemptResult.FAILED,
+    Reason.NOT_HOLDER: state.AttemptResult.NOT_HOLDER,
+    Reason.DECLINED: state.AttemptResult.DECLINED,
+}
+
+
+def find_reason(
+    header_names: http.HeaderNames,
+    response: h11.Response,
+    withhold_server_errors: bool,
+) -> Reason | None:
+    """Return why a response is withheld, None if the origin gets it."""
+    if http.is_not_run_response(header_names, response):
+        if response.status_code == http.STATUS_MISDIRECTED:
+            return Reason.NOT_HOLDER
+        return Reason.DECLINED
+    if response.status_code < MIN_SERVER_ERROR_STATUS:
+        return None
+    return Reason.SERVER_ERROR if withhold_server_errors else None
+
+
+class WithheldResponse:
+    """Response whose body is read, within limits, but not used."""
+
+    def __init__(self, reason: Reason, status: int) -> None:
+        """Create a response without a body."""
+        self._reason = reason
+        self._status = status
+        self._body_bytes = 0
+        self._chunk_count = 0
+
+    def add_chunk(self, data: bytes) -> None:
+        """Count a chunk of the body."""
+        self._body_bytes += len(data)
+        self._chunk_count += 1
+
+    @property
+    def is_too_long(self) -> bool:
+        """Return whether the rest of the body should not be read."""
+        return (
+            self._body_bytes > MAX_BODY_BYTES
+            or self._chunk_count > MAX_CHUNK_COUNT
+        )
+
+    @property
+    def is_not_run(self) -> bool:
+        """Return whether it states that the request was not executed."""
+        return self._reason is not Reason.SERVER_ERROR
+
+    @property
+    def result(self) -> state.AttemptResult:
+        """Return the outcome of the attempt."""
+        return RESULT_BY_REASON[self._reason]
+
+    def make_error(self, upstream_id: ids.UpstreamId) -> errors.RouterError:
+        """Return the error with which the attempt ends."""
+        text = f"upstream returned status {self._status}"
+        if self._reason is Reason.SERVER_ERROR:
+            outcome = states.Outcome.UNKNOWN
+            return errors.UpstreamServerError(
+                text, peer=upstream_id, outcome=outcome
+            )
+        if self._reason is Reason.NOT_HOLDER:
+            return errors.ShardKeyNotHeld(text, peer=upstream_id)
+        return errors.UpstreamDeclined(text, peer=upstream_id)
