Check drains and configurations in the soak

Instances that were disrupted or could not reach the store within 3 s before are not judged; a leader without the store excuses its followers nothing.

Each check has a planted violation.

--- a/bench/processes.py
+++ b/bench/processes.py
@@ -20,6 +20,8 @@
 HOST: Final = "127.0.0.1"
 LOG_TAIL_CHAR_COUNT: Final = 2000
 READY_SECONDS: Final = 20.0
+PROMISED_CHANGE_SECONDS: Final = 2.5
+"""Time in which an instance acts on a change in the store."""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -60,7 +62,9 @@
             f"ready = {HOST}:{self.ports.ready}\n"
             f"relay_port = {self.ports.relay}\n"
             f"[store]\naddress = {HOST}:{store_port}\n"
-            "[shutdown]\nsettle = 0.2\ndeadline = 4\n",
+            "[shutdown]\nsettle = 0.2\ndeadline = 4\n"
+            f"[promises]\napply = {PROMISED_CHANGE_SECONDS}\n"
+            f"drain = {PROMISED_CHANGE_SECONDS}\n",
             encoding="utf-8",
         )
         self.process: subprocess.Popen[bytes] | None = None
--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -15,6 +15,7 @@
 from bench import processes
 from bench.soak import checks
 from bench.soak import faults
+from bench.soak import planned
 from bench.soak import proxy
 from bench.soak import record
 from bench.soak import traffic
@@ -71,8 +72,16 @@
             stall_monitor = group.create_task(
                 _async_monitor_stalls(deployment)
             )
+            planned_work = [
+                group.create_task(
+                    planned.PLANNED.get(name)(
+                        deployment, random.Random(f"{seed}-{name}")
+                    )
+                )
+                for name in planned.PLANNED
+            ]
             await _async_inject_faults(deployment, fault_seconds)
-            for background_task in (*callers, stall_monitor):
+            for background_task in (*callers, *planned_work, stall_monitor):
                 background_task.cancel()
         episode.recovery_seconds = await _async_recover(deployment)
     return episode
@@ -210,7 +219,7 @@
         for instance in deployment.instances:
             deployment.episode.disruptions.append(
                 record.Disruption(
-                    instance=instance.name,
+                    name=instance.name,
                     started_at=started_at,
                     ended_at=ended_at,
                 )
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -21,6 +21,9 @@
 NOT_EXECUTED_STATUSES: Final = frozenset({"408", "421", "429", "503"})
 """Statuses that guarantee that the request is never executed."""
 
+NOT_FOUND_STATUS: Final = "404"
+"""Status on a route that is not in force."""
+
 QUOTA_OVERAGE_RATIO: Final = 1.1
 """Ratio to rate and burst that the guarantee allows within a window."""
 
@@ -116,6 +119,56 @@
             )
 
 
+@CHECKS.register("leaving upstreams")
+def check_leaving_upstreams(
+    episode: record.EpisodeRecord,
+) -> abc.Iterator[str]:
+    """Check that instances in touch leave leaving upstreams alone in time."""
+    instance_by_id = {
+        request.request_id: request.instance
+        for request in episode.observed_requests
+    }
+    executed_by_upstream = {
+        server.name: server.executed_requests for server in episode.upstreams
+    }
+    for leaving in episode.leavings:
+        late_from = leaving.started_at + processes.PROMISED_CHANGE_SECONDS
+        for execution in executed_by_upstream[leaving.upstream]:
+            instance = instance_by_id.get(execution.request_id)
+            arrived_at = execution.arrived_at
+            if instance is None or arrived_at <= late_from:
+                continue
+            if arrived_at >= leaving.ended_at:
+                continue
+            if episode.was_in_touch(
+                instance, leaving.started_at, arrived_at
+            ) and episode.was_link_sound(leaving.upstream, arrived_at):
+                yield (
+                    f"{execution.request_id} reached {leaving.upstream} from"
+                    f" {instance} {arrived_at - leaving.started_at:.2f} s"
+                    " after it began to leave"
+                )
+
+
+@CHECKS.register("configurations in force")
+def check_configurations(episode: record.EpisodeRecord) -> abc.Iterator[str]:
+    """Check that instances in touch apply a configuration in time."""
+    for probe in episode.route_probes:
+        if not probe.status.isdigit():
+            continue
+        if (probe.status != NOT_FOUND_STATUS) is probe.is_added:
+            continue
+        if episode.was_in_touch(
+            probe.instance, probe.changed_at, probe.sent_at
+        ):
+            change = "added" if probe.is_added else "removed"
+            yield (
+                f"{probe.instance} responded with {probe.status} on"
+                f" {probe.prefix}, {change}"
+                f" {probe.sent_at - probe.changed_at:.2f} s before"
+            )
+
+
 @CHECKS.register("one holder")
 def check_shard_holders(episode: record.EpisodeRecord) -> abc.Iterator[str]:
     """Check that no shard key was held by two upstreams at a time."""
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -5,6 +5,7 @@
 
 import asyncio
 from collections import abc
+import contextlib
 import dataclasses
 import random
 import signal
@@ -43,7 +44,10 @@
 
 
 def make_configuration(
-    version: int, second_keys: list[str], rate: float
+    version: int,
+    second_keys: list[str],
+    rate: float,
+    other_prefixes: tuple[str, ...] = (),
 ) -> dict[str, object]:
     """Return a configuration of two workspaces in the stored form."""
     return configuration.build_configuration(
@@ -51,6 +55,7 @@
         [traffic.KEYS_BY_WORKSPACE[traffic.FIRST_WORKSPACE]],
         rate,
         other_workspaces=((traffic.SECOND_WORKSPACE, second_keys),),
+        other_prefixes=other_prefixes,
     )
 
 
@@ -71,18 +76,31 @@
         ]
     )
     version: int = 1
+    rate: float = MIN_REQUESTS_PER_SECOND
+    other_prefixes: tuple[str, ...] = ()
 
-    def write_configuration(self, rate: float) -> None:
+    def write_configuration(self) -> None:
         """Write a configuration with the next version."""
         self.version += 1
-        spec = make_configuration(self.version, self.second_keys, rate)
+        spec = make_configuration(
+            self.version, self.second_keys, self.rate, self.other_prefixes
+        )
         self.store.objects.replace("config", "main", spec, None)
         self.store.notify_watches()
 
+    def register(
+        self, proxied_upstream: ProxiedUpstream, **changes: object
+    ) -> None:
+        """Write the registration of an upstream, with fields changed."""
+        registration = proxied_upstream.make_registration() | changes
+        name = proxied_upstream.server.name
+        self.store.objects.replace("servers", name, registration, None)
+        self.store.notify_watches()
+
     def withdraw_key(self) -> None:
         """Withdraw the key of the second workspace permanently."""
         self.second_keys.clear()
-        self.write_configuration(MIN_REQUESTS_PER_SECOND)
+        self.write_configuration()
         self.episode.withdrawn_at_by_workspace[traffic.SECOND_WORKSPACE] = (
             time.monotonic()
         )
@@ -117,7 +135,7 @@
         """Record the disruption and release the reservation."""
         self.episode.disruptions.append(
             record.Disruption(
-                instance=instance.name,
+                name=instance.name,
                 started_at=disrupted_since,
                 ended_at=time.monotonic(),
             )
@@ -125,6 +143,28 @@
         self.reserved_names.discard(instance.name)
 
 
+@contextlib.contextmanager
+def recorded(
+    disruptions: list[record.Disruption], name: str
+) -> abc.Iterator[None]:
+    """Record a disruption that lasts as long as the ``with`` block.
+
+    It counts as going on until its end is recorded.
+    """
+    started_at = time.monotonic()
+    ongoing = record.Disruption(
+        name=name, started_at=started_at, ended_at=float("inf")
+    )
+    disruptions.append(ongoing)
+    try:
+        yield
+    finally:
+        disruptions.remove(ongoing)
+        disruptions.append(
+            dataclasses.replace(ongoing, ended_at=time.monotonic())
+        )
+
+
 Fault = abc.Callable[[Deployment], abc.Awaitable[None]]
 
 FAULTS: Final[registry.Registry[str, Fault]] = registry.Registry("soak faults")
@@ -150,6 +190,14 @@
     instance = deployment.reserve_instance()
     if instance is None:
         return
+    with recorded(deployment.episode.contact_losses, instance.name):
+        await _async_restart_gracefully(deployment, instance)
+    deployment.reserved_names.discard(instance.name)
+
+
+async def _async_restart_gracefully(
+    deployment: Deployment, instance: processes.Instance
+) -> None:
     started_at = time.monotonic()
     instance.send_signal(signal.SIGTERM)
     await instance.async_wait_exit(checks.MAX_STOP_SECONDS)
@@ -159,7 +207,6 @@
     instance.send_signal(signal.SIGKILL)
     await instance.async_wait_exit(checks.MAX_STOP_SECONDS)
     await deployment.async_start_instance(instance)
-    deployment.reserved_names.discard(instance.name)
 
 
 @FAULTS.register("pause")
@@ -187,7 +234,8 @@
     injection = deployment.store.injection
     injection.fault = deployment.rng.choice(list(store.Fault))
     injection.delay_seconds = deployment.rng.choice((0.0, 0.05, 0.3))
-    await asyncio.sleep(deployment.rng.uniform(0.5, 6.0))
+    with recorded(deployment.episode.contact_losses, record.ALL_INSTANCES):
+        await asyncio.sleep(deployment.rng.uniform(0.5, 6.0))
     injection.fault = store.Fault.NONE
     injection.delay_seconds = 0.0
 
@@ -195,18 +243,22 @@
 @FAULTS.register("store history")
 async def async_compact_store(deployment: Deployment) -> None:
     """Discard the store's history of changes."""
-    deployment.store.objects.compact()
-    deployment.store.notify_watches()
+    with recorded(deployment.episode.contact_losses, record.ALL_INSTANCES):
+        deployment.store.objects.compact()
+        deployment.store.notify_watches()
 
 
 @FAULTS.register("store link")
 async def async_store_link_fault(deployment: Deployment) -> None:
     """Inject a fault into the connection of one instance to the store."""
     store_proxy = deployment.rng.choice(deployment.store_proxies)
+    index = deployment.store_proxies.index(store_proxy)
+    name = deployment.instances[index].name
     store_proxy.set_mode(
         deployment.rng.choice(list(proxy.Mode)), delay_seconds=0.3
     )
-    await asyncio.sleep(deployment.rng.uniform(0.3, 5.0))
+    with recorded(deployment.episode.contact_losses, name):
+        await asyncio.sleep(deployment.rng.uniform(0.3, 5.0))
     store_proxy.set_mode(proxy.Mode.PASS)
 
 
@@ -217,7 +269,9 @@
     proxied_upstream.proxy.set_mode(
         deployment.rng.choice(list(proxy.Mode)), delay_seconds=0.05
     )
-    await asyncio.sleep(deployment.rng.uniform(0.2, 2.5))
+    name = proxied_upstream.server.name
+    with recorded(deployment.episode.link_faults, name):
+        await asyncio.sleep(deployment.rng.uniform(0.2, 2.5))
     proxied_upstream.proxy.set_mode(proxy.Mode.PASS)
 
 
@@ -242,13 +296,7 @@
     await asyncio.sleep(deployment.rng.uniform(1.0, 4.0))
     proxied_upstream.server.crash()
     proxied_upstream.proxy.set_mode(proxy.Mode.PASS)
-    deployment.store.objects.replace(
-        "servers",
-        proxied_upstream.server.name,
-        proxied_upstream.make_registration(),
-        None,
-    )
-    deployment.store.notify_watches()
+    deployment.register(proxied_upstream)
     deployment.reserved_names.discard(proxied_upstream.server.name)
 
 
@@ -256,7 +304,8 @@
 async def async_change_rates(deployment: Deployment) -> None:
     """Change the rates several times in quick succession."""
     for _ in range(deployment.rng.randrange(1, 4)):
-        deployment.write_configuration(
+        deployment.rate = (
             deployment.rng.uniform(1.0, 2.0) * MIN_REQUESTS_PER_SECOND
         )
+        deployment.write_configuration()
         await asyncio.sleep(deployment.rng.uniform(0.0, 0.3))
--- a/bench/soak/record.py
+++ b/bench/soak/record.py
@@ -3,9 +3,16 @@
 import collections
 import dataclasses
 import enum
+from typing import Final
 
 from stand_ins import upstream
 
+ALL_INSTANCES: Final = "*"
+"""Name of a disruption that concerns every instance."""
+
+CONTACT_SECONDS: Final = 3.0
+"""Time without disruption after which an instance is in touch again."""
+
 
 class Kind(enum.Enum):
     """Kinds of requests; the value is the first segment of the path."""
@@ -34,17 +41,48 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Disruption:
-    """Period in which an instance was killed, suspended or stalled."""
+    """Period in which an instance, a link or the store was disrupted.
 
-    instance: str
+    ``name`` is that of the instance, or of the upstream behind the link.
+    """
+
+    name: str
     started_at: float
     ended_at: float
 
+    def overlaps(self, started_at: float, ended_at: float) -> bool:
+        """Return whether it was going on at some time of a period."""
+        return self.started_at <= ended_at and self.ended_at >= started_at
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Leaving:
+    """Period in which an upstream was registered as leaving."""
+
+    upstream: str
+    started_at: float
+    ended_at: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RouteProbe:
+    """Request on a route that was added or removed by the last change."""
+
+    instance: str
+    prefix: str
+    is_added: bool
+    changed_at: float
+    sent_at: float
+    status: str
+
 
 @dataclasses.dataclass(kw_only=True)
 class EpisodeRecord:
     """Observations of callers, upstreams and faults during an episode.
 
+    ``disruptions`` are those in which an instance was killed, suspended or
+    stalled, and ``contact_losses`` those in which it was shut down or could
+    not reach the store; ``link_faults`` are those of upstreams.
     ``max_requests_per_second`` is the highest rate of a workspace in the
     episode. ``withdrawn_at_by_workspace`` has the times at which keys of
     workspaces were withdrawn, ``stop_seconds_by_instance`` the seconds
@@ -57,6 +95,10 @@
         default_factory=list
     )
     disruptions: list[Disruption] = dataclasses.field(default_factory=list)
+    contact_losses: list[Disruption] = dataclasses.field(default_factory=list)
+    link_faults: list[Disruption] = dataclasses.field(default_factory=list)
+    leavings: list[Leaving] = dataclasses.field(default_factory=list)
+    route_probes: list[RouteProbe] = dataclasses.field(default_factory=list)
     upstreams: list[upstream.UpstreamServer] = dataclasses.field(
         default_factory=list
     )
@@ -91,8 +133,28 @@
         Disruptions that ended up to ``grace_seconds`` before it count.
         """
         return any(
-            disruption.instance == request.instance
-            and disruption.started_at <= request.ended_at
-            and disruption.ended_at >= request.sent_at - grace_seconds
+            disruption.name == request.instance
+            and disruption.overlaps(
+                request.sent_at - grace_seconds, request.ended_at
+            )
             for disruption in self.disruptions
         )
+
+    def was_in_touch(self, instance: str, since: float, until: float) -> bool:
+        """Return whether an instance ran and reached the store meanwhile.
+
+        The time in which contact is established again counts too.
+        """
+        return not any(
+            disruption.name in (instance, ALL_INSTANCES)
+            and disruption.overlaps(since - CONTACT_SECONDS, until)
+            for disruption in (*self.disruptions, *self.contact_losses)
+        )
+
+    def was_link_sound(self, name: str, until: float) -> bool:
+        """Return whether the link to an upstream had no fault before."""
+        return not any(
+            fault.name == name
+            and fault.overlaps(until - CONTACT_SECONDS, until)
+            for fault in self.link_faults
+        )
--- a/stand_ins/upstream.py
+++ b/stand_ins/upstream.py
@@ -37,11 +37,12 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ExecutedRequest:
-    """A request that the upstream started to run."""
+    """A request that the upstream started to run; times are monotonic."""
 
     request_id: str
     tenant: str
     had_caller_key: bool
+    arrived_at: float = 0.0
     started_at: float = 0.0
 
 
@@ -131,16 +132,17 @@
         self, request: http_server.ServerRequest
     ) -> http_server.ServerResponse:
         self._queued_count += 1
+        arrived_at = time.monotonic()
         async with self._free_slots:
             self._queued_count -= 1
             self._running_count += 1
             try:
-                return await self._async_work(request)
+                return await self._async_work(request, arrived_at)
             finally:
                 self._running_count -= 1
 
     async def _async_work(
-        self, request: http_server.ServerRequest
+        self, request: http_server.ServerRequest, arrived_at: float
     ) -> http_server.ServerResponse:
         request_id = request.headers.get("request-id", "")
         self.executed_requests.append(
@@ -148,6 +150,7 @@
                 request_id=request_id,
                 tenant=request.headers.get("tenant", ""),
                 had_caller_key="x-api-key" in request.headers,
+                arrived_at=arrived_at,
                 started_at=time.monotonic(),
             )
         )
--- a/tests/bench/test_soak.py
+++ b/tests/bench/test_soak.py
@@ -1,6 +1,7 @@
 """Tests of the soak: its checks, its proxy and a short episode."""
 
 import asyncio
+import dataclasses
 import pathlib
 import subprocess
 import sys
@@ -78,6 +79,11 @@
         make_observed("a", Kind.READ, "200", sent_at=106.0),
         executed=(make_executed("a"),),
     ),
+    "leaving upstreams": make_episode(
+        make_observed("a", Kind.READ, "200"),
+        executed=(make_executed("a", arrived_at=100.1),),
+    ),
+    "configurations in force": make_episode(),
     "one holder": make_episode(),
     "rates": make_episode(
         *(make_observed(f"r{n}", Kind.READ, "200") for n in range(40)),
@@ -97,6 +103,19 @@
     "ready after a start": make_episode(),
 }
 VIOLATING_EPISODES["withdrawn keys"].withdrawn_at_by_workspace["one"] = 100.5
+VIOLATING_EPISODES["leaving upstreams"].leavings.append(
+    record.Leaving(upstream="u1", started_at=97.5, ended_at=101.0)
+)
+VIOLATING_EPISODES["configurations in force"].route_probes.append(
+    record.RouteProbe(
+        instance="instance-1",
+        prefix="/added-1/",
+        is_added=True,
+        changed_at=97.4,
+        sent_at=100.0,
+        status="404",
+    )
+)
 VIOLATING_EPISODES["one holder"].double_grants.append("bucket 1")
 VIOLATING_EPISODES["ends in time"].stop_seconds_by_instance[
     "instance-1"
@@ -120,6 +139,48 @@
         ]
         assert violated_checks == [name]
 
+    def test_removed_route(self) -> None:
+        """A route that is still served long after its removal is one too."""
+        (probe,) = VIOLATING_EPISODES["configurations in force"].route_probes
+        episode = make_episode()
+        for is_added, status in ((False, "200"), (False, "404")):
+            episode.route_probes.append(
+                dataclasses.replace(probe, is_added=is_added, status=status)
+            )
+        assert len(list(checks.check_configurations(episode))) == 1
+
+    @pytest.mark.parametrize("name", ["instance-1", record.ALL_INSTANCES])
+    @pytest.mark.parametrize(
+        "check", ["leaving upstreams", "configurations in force"]
+    )
+    def test_instance_that_is_not_in_touch(
+        self, name: str, check: str
+    ) -> None:
+        """A change binds only instances that can reach the store."""
+        loss = record.Disruption(name=name, started_at=90.0, ended_at=96.0)
+        episode = dataclasses.replace(
+            VIOLATING_EPISODES[check], contact_losses=[loss]
+        )
+        assert not list(checks.CHECKS.get(check)(episode))
+
+    def test_other_instance_that_is_not_in_touch(self) -> None:
+        """A leader without the store excuses its followers nothing."""
+        loss = record.Disruption(
+            name="instance-2", started_at=90.0, ended_at=110.0
+        )
+        episode = dataclasses.replace(
+            VIOLATING_EPISODES["leaving upstreams"], contact_losses=[loss]
+        )
+        assert list(checks.check_leaving_upstreams(episode))
+
+    def test_upstream_behind_a_faulty_link(self) -> None:
+        """What was held up on the way is no violation."""
+        fault = record.Disruption(name="u1", started_at=98.0, ended_at=99.0)
+        episode = dataclasses.replace(
+            VIOLATING_EPISODES["leaving upstreams"], link_faults=[fault]
+        )
+        assert not list(checks.check_leaving_upstreams(episode))
+
     def test_ignores_disrupted_instance(self) -> None:
         """A request lost by a killed instance is no violation."""
         lost_episode = VIOLATING_EPISODES["no request is lost"]
@@ -130,7 +191,7 @@
             recovery_seconds=1.0,
             disruptions=[
                 record.Disruption(
-                    instance="instance-1", started_at=99.0, ended_at=101.0
+                    name="instance-1", started_at=99.0, ended_at=101.0
                 )
             ],
         )
