Log a response to a write that has no object

An undecodable body of the store's response was turned into "no object" without a line, so that the next write's conflict had no visible cause. Tests of the store, the platform and whole instances pass.

--- a/dragonflyshelf/platform/store.py
+++ b/dragonflyshelf/platform/store.py
@@ -3,6 +3,7 @@
 import asyncio
 from typing import Any
 
+from absl import logging
 import h11
 import msgspec
 
@@ -16,6 +17,8 @@
 from dragonflyshelf.platform import names
 from dragonflyshelf.runtime import http_client
 
+_LOGGER = logging.get_absl_logger()
+
 OK_STATUSES = frozenset({200, 201})
 CONFLICT_STATUSES = frozenset({404, 409})
 """Write statuses: the expected revision is not the current one."""
@@ -250,7 +253,8 @@
     """Return the object in a response; a 404 response has none."""
     try:
         record = msgspec.json.decode(body, type=StoreObject)
-    except msgspec.MsgspecError:
+    except msgspec.MsgspecError as error:
+        _LOGGER.info("no object in the response to a write: %s", error)
         return None
     return grantor.ControlObserved(
         name=ids.ObjectName(record.metadata.name),
