Judge a follower's knowledge by when all of it was complete

What callers see: DRAIN, requests that reach an upstream which has left.

An update now says when the replica of its sender was complete: at the leader when it renewed its lease, at others as their source said, or when they watched all kinds themselves. That age decides, with the same limits, and is passed on, so that a relay which reads the lease itself does not make the rest look young. Updates that lack a kind or were ignored do not count. Sources of older builds are judged by their lease as before.

--- a/dragonflyshelf/codec/relay.capnp
+++ b/dragonflyshelf/codec/relay.capnp
@@ -81,6 +81,7 @@
   kinds @1 :List(Kind);
   instances @2 :List(Text);
   relay @3 :Address;
+  age @4 :Float64 = inf;
 }
 
 struct Frame {
--- a/dragonflyshelf/core/relay/followers.py
+++ b/dragonflyshelf/core/relay/followers.py
@@ -172,11 +172,16 @@
         )
 
     def next_update(
-        self, link: Link, is_leading: bool, now: ids.Instant
+        self,
+        link: Link,
+        is_leading: bool,
+        now: ids.Instant,
+        complete_at: ids.Instant = replica.DISTANT_PAST,
     ) -> messages.Update:
         """Return the changes not yet sent on a link, and mark them as sent.
 
-        An instance that has just started is only told its relay at first.
+        ``complete_at`` is up to when this instance knows all changes. A
+        follower that has just started is only told its relay at first.
         """
         follower = self._followers_by_link[link]
         relay = addresses.NO_ADDRESS
@@ -199,6 +204,7 @@
             ),
             instances=new_instances,
             relay=relay,
+            age=follower.requested_at - complete_at,
         )
         sent_by_kind = {
             relayed.kind: relayed.revision for relayed in update.kinds
--- a/dragonflyshelf/core/relay/messages.py
+++ b/dragonflyshelf/core/relay/messages.py
@@ -13,6 +13,9 @@
 from dragonflyshelf.core.store import messages as store
 from dragonflyshelf.core.upstreams import service_times
 
+UNKNOWN_AGE: Final = float("inf")
+"""Age of an update from an instance that doesn't state it."""
+
 NOT_COUNTED: Final = -1
 """Number of received updates from an instance that doesn't count them."""
 
@@ -91,13 +94,16 @@
 
     ``instances`` are those that the leader considers alive, empty if
     unchanged since the last update. ``relay`` is the address for further
-    requests, ``NO_ADDRESS`` to stay with the sender.
+    requests, ``NO_ADDRESS`` to stay with the sender. ``age`` is the time in
+    seconds up to the arrival of the request since the sender's replica was
+    complete; it is negative if that was after the arrival.
     """
 
     number: int
     kinds: tuple[RelayedKind, ...]
     instances: tuple[ids.InstanceId, ...]
     relay: addresses.Address = addresses.NO_ADDRESS
+    age: float = UNKNOWN_AGE
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/dragonflyshelf/core/relay/watch_selector.py
+++ b/dragonflyshelf/core/relay/watch_selector.py
@@ -47,7 +47,7 @@
 """Seconds without an update after which its source counts as lost."""
 
 RELAY_DELAY_SECONDS: Final = 0.5
-"""Time by which the lease known through a relay is older."""
+"""Time by which what is known through a relay is older."""
 
 DIRECT_READ_SECONDS: Final = 0.25
 """Time from the age at which the store is read until its state is known."""
@@ -63,16 +63,17 @@
 class ReplicaState:
     """Role of this instance, and ages in seconds of what it replicates.
 
-    ``lease_age`` is the time since the lease was confirmed. It shows how
-    long ago the leader could reach the store. ``is_relay`` is set if others
-    follow this instance, ``uses_relay`` if it follows a relay itself.
+    ``complete_age`` is the time since the replica was complete. It shows
+    how long ago the leader renewed its lease, and how late its updates are.
+    ``is_relay`` is set if others follow this instance, ``uses_relay`` if it
+    follows a relay itself.
     """
 
     is_leading: bool = False
     is_relay: bool = False
     uses_relay: bool = False
     configuration_age: float
-    lease_age: float
+    complete_age: float
 
 
 class WatchSelector:
@@ -80,12 +81,12 @@
 
     The leader watches all kinds except the one that it writes; a follower
     that receives no updates watches all. Other followers watch none, as
-    that would repeat calls that the leader makes already. A follower of a
-    leader that no longer renews its lease watches the lease, and then all
-    kinds, early enough for the promised times: such a leader does not see
-    changes either. A follower whose
-    replica is too old watches the configuration and the lease. An instance
-    that has just started watches the lease to find a leader.
+    that would repeat calls that the leader makes already. A follower whose
+    replica has not been complete for the length of a lease watches the
+    lease, and then all kinds, early enough for the promised times: its
+    leader does not reach the store, or its updates are late. One whose
+    configuration is too old watches the configuration and the lease. An
+    instance that has just started watches the lease to find a leader.
     """
 
     def __init__(
@@ -128,17 +129,17 @@
         return self._kinds_with_updates(state, now)
 
     def _is_source_lost(self, state: ReplicaState, now: ids.Instant) -> bool:
-        """Return whether updates are missing or come from a former leader."""
+        """Return whether updates are missing, late or of a former leader."""
         if now - self._updated_at > UPDATE_TIMEOUT_SECONDS:
             return True
         max_age = min(
-            self._max_lease_age(state) + TAKEOVER_SECONDS,
+            self._max_complete_age(state) + TAKEOVER_SECONDS,
             self._max_unwatched_age,
         )
-        return self._has_update and state.lease_age > max_age
+        return self._has_update and state.complete_age > max_age
 
-    def _max_lease_age(self, state: ReplicaState) -> float:
-        """Return the age in seconds up to which the lease is valid."""
+    def _max_complete_age(self, state: ReplicaState) -> float:
+        """Return the age in seconds of a complete replica in a valid lease."""
         if state.uses_relay:
             return self._lease_seconds + RELAY_DELAY_SECONDS
         return self._lease_seconds
@@ -154,7 +155,7 @@
         can reach the store, has become leader.
         """
         watch_until = ids.Instant(now + MIN_DIRECT_WATCH_SECONDS)
-        if state.lease_age > self._max_lease_age(state):
+        if state.complete_age > self._max_complete_age(state):
             self._lease_watch_until = watch_until
         max_age = MEMBER_DIRECT_WATCH_AGE_SECONDS
         if state.is_relay:
--- a/dragonflyshelf/runtime/gateway/control.py
+++ b/dragonflyshelf/runtime/gateway/control.py
@@ -420,12 +420,16 @@
     def _update_watches(self) -> None:
         """Watch the kinds in the store for which no updates are received."""
         is_relay = self._relay_coordinator.is_relay(self.now)
+        completeness = self._relay_coordinator.completeness
+        if self._watched_kinds == watch_selector.ALL_KINDS:
+            completeness.record_direct_watch()
+        complete_at = completeness.complete_at(self.is_leading)
         state = watch_selector.ReplicaState(
             is_leading=self.is_leading,
             is_relay=is_relay,
             uses_relay=self._relay_coordinator.uses_relay,
             configuration_age=self.configuration_age,
-            lease_age=self._age(Kind.CONTROL),
+            complete_age=self.now - complete_at,
         )
         kinds = self._watch_selector.select_kinds(state, self.now)
         if kinds == self._watched_kinds:
--- a/dragonflyshelf/runtime/gateway/relay_coordinator.py
+++ b/dragonflyshelf/runtime/gateway/relay_coordinator.py
@@ -16,6 +16,7 @@
 from dragonflyshelf.core.quota import allocator
 from dragonflyshelf.core.quota import messages as quota
 from dragonflyshelf.core.quota import pool
+from dragonflyshelf.core.relay import completeness
 from dragonflyshelf.core.relay import followers
 from dragonflyshelf.core.relay import messages as relay
 from dragonflyshelf.core.relay import relay_selector
@@ -58,6 +59,7 @@
         self._requested_at_by_number: dict[int, ids.Instant] = {}
         self._service_time_tally = service_times.ServiceTimeTally()
         self.allocator = allocator.TokenAllocator()
+        self.completeness = completeness.Completeness(store_replica)
         self.followers = followers.Followers(config.instance, store_replica)
         self.router: inbox.Inbox | None = None
         self.client: inbox.Inbox | None = None
@@ -160,7 +162,7 @@
     def apply_update(
         self, update: relay.Update, now: ids.Instant
     ) -> abc.Iterator[store.KindListed | store.KindChanged]:
-        """Apply an update and yield its store events.
+        """Apply an update and yield its store events to apply.
 
         An update for a request that is no longer tracked is ignored.
         """
@@ -173,6 +175,7 @@
             self.followers.set_leader_instances(update.instances)
         for relayed_kind in update.kinds:
             yield updates.to_event(relayed_kind, requested_at)
+        self.completeness.record_update(update, requested_at)
 
     def handle_request(
         self,
@@ -199,7 +202,10 @@
         Nothing is sent on a link whose follower has disconnected.
         """
         if self.followers.has_link(link):
-            link.post(self.followers.next_update(link, is_leading, now))
+            complete_at = self.completeness.complete_at(is_leading)
+            link.post(
+                self.followers.next_update(link, is_leading, now, complete_at)
+            )
 
     def request_tokens(
         self,
--- a/tests/codec/test_relay.py
+++ b/tests/codec/test_relay.py
@@ -42,3 +42,5 @@
         (relayed,) = received.kinds
         assert relayed.since == 0
         assert not relayed.changes[0].compressed
+        assert not relayed.changes[0].is_delta
+        assert received.age == messages.UNKNOWN_AGE
--- a/tests/core/relay/test_relay.py
+++ b/tests/core/relay/test_relay.py
@@ -496,11 +496,11 @@
 
 
 def make_state(
-    age: float, lease_age: float = 0.5, **values: bool
+    age: float, complete_age: float = 0.5, **values: bool
 ) -> watch_selector.ReplicaState:
     """Return a state whose configuration has an age in seconds."""
     return watch_selector.ReplicaState(
-        configuration_age=age, lease_age=lease_age, **values
+        configuration_age=age, complete_age=complete_age, **values
     )
 
 
@@ -606,34 +606,34 @@
 
     def test_lease_that_is_renewed(self) -> None:
         """A follower watches nothing while the lease is valid."""
-        state = make_state(age=2.1, lease_age=LEADERSHIP.lease - 0.1)
+        state = make_state(age=2.1, complete_age=LEADERSHIP.lease - 0.1)
         kinds = self.make_selector().select_kinds(state, at(5.1))
         assert kinds == watch_selector.NO_KINDS
 
     def test_lease_that_has_ended(self) -> None:
         """The lease is watched first, as another may take it any moment."""
-        state = make_state(age=0.5, lease_age=LEADERSHIP.lease + 0.1)
+        state = make_state(age=0.5, complete_age=LEADERSHIP.lease + 0.1)
         kinds = self.make_selector().select_kinds(state, at(5.1))
         assert kinds == watch_selector.LEASE_KINDS
 
     def test_drain_under_a_refused_leader(self) -> None:
         """DRAIN: then all kinds are watched, registrations too."""
-        lease_age = LEADERSHIP.lease + watch_selector.TAKEOVER_SECONDS + 0.1
-        state = make_state(age=0.5, lease_age=lease_age)
+        complete_age = LEADERSHIP.lease + watch_selector.TAKEOVER_SECONDS + 0.1
+        state = make_state(age=0.5, complete_age=complete_age)
         kinds = self.make_selector().select_kinds(state, at(5.1))
         assert kinds == watch_selector.ALL_KINDS
 
     def test_member_of_a_relay(self) -> None:
         """A member allows for the time that its relay takes."""
         selector = self.make_selector()
-        lease_age = LEADERSHIP.lease + watch_selector.RELAY_DELAY_SECONDS
+        complete_age = LEADERSHIP.lease + watch_selector.RELAY_DELAY_SECONDS
         for excess, kinds in (
             (-0.1, watch_selector.NO_KINDS),
             (0.1, watch_selector.LEASE_KINDS),
             (0.4, watch_selector.ALL_KINDS),
         ):
             state = make_state(
-                age=0.5, lease_age=lease_age + excess, uses_relay=True
+                age=0.5, complete_age=complete_age + excess, uses_relay=True
             )
             assert selector.select_kinds(state, at(5.1)) == kinds
 
@@ -645,7 +645,7 @@
         read_seconds = watch_selector.DIRECT_READ_SECONDS - TICK_SECONDS
         state = make_state(
             age=0.5,
-            lease_age=SHORT_PROMISES.drain - read_seconds,
+            complete_age=SHORT_PROMISES.drain - read_seconds,
             uses_relay=True,
         )
         kinds = selector.select_kinds(state, at(5.1))
@@ -654,7 +654,7 @@
     def test_new_leader(self) -> None:
         """With a lease that is renewed again the watches end."""
         selector = self.make_selector()
-        selector.select_kinds(make_state(age=0.5, lease_age=2.0), at(5.1))
+        selector.select_kinds(make_state(age=0.5, complete_age=2.0), at(5.1))
         selector.record_update(at(6.0))
         kinds = selector.select_kinds(make_state(age=0.5), at(6.0))
         assert kinds == watch_selector.NO_KINDS
