Publish versions in quick succession once

What callers see: CONFIG, a change that is not in force in time.

Class: work for each message where only the last one matters. A change is applied to the replica at once, but decoded, published and sent on by a message to the task itself, which is handled after those that wait already. An instance that keeps up publishes every version as before, one that is behind skips to the last. The confirmation of a configuration follows its version, so that a key is not trusted by a version that is not in force yet. The lease takes effect at once. Sought elsewhere: registrations and evacuations go the same way now; the router handles messages, of which none replaces another, one by one.

--- a/dragonflyshelf/runtime/gateway/control.py
+++ b/dragonflyshelf/runtime/gateway/control.py
@@ -73,6 +73,11 @@
     """The tick interval has passed."""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class PublishChanges:
+    """Changes were applied to the replica, and those queued behind them."""
+
+
 @dataclasses.dataclass(kw_only=True)
 class TaskInboxes:
     """Inboxes of the tasks to which the control task posts messages."""
@@ -112,7 +117,10 @@
         self._next_measurement_at = ids.Instant(0.0)
         self._service_times = service_times.DecayingServiceTimes()
         self._lost_kinds: set[Kind] = set()
-        self._source = diagnostics.Source.STORE
+        self._unpublished_by_kind: dict[
+            Kind, dict[ids.ObjectName, store.Change]
+        ] = {}
+        self._source_by_kind: dict[Kind, diagnostics.Source] = {}
         self._tick_monitor = diagnostics.TickMonitor(TICK_INTERVAL_SECONDS)
         self._leader_log = diagnostics.LeaderLog()
         self._upstream_log = diagnostics.UpstreamLog()
@@ -190,7 +198,7 @@
         source: diagnostics.Source,
     ) -> None:
         """Apply an event to the replica and publish what it changed."""
-        self._source = source
+        self._source_by_kind[event.kind] = source
         if isinstance(event, store.KindListed):
             changes = self._replica.apply_list(event)
         else:
@@ -217,22 +225,52 @@
     def _publish_changes(
         self, kind: Kind, changes: tuple[store.Change, ...]
     ) -> None:
-        """Decode and publish changes, and the confirmation of their kind."""
+        """Have changes published, and the confirmation of their kind.
+
+        The lease takes effect at once. Other changes are published after
+        the messages that wait already, so that versions in quick succession
+        are decoded and sent on once if this instance is behind.
+        """
+        if kind is Kind.CONTROL:
+            self._publish_control(changes)
+        if any(change.name != LEASE_OBJECT_NAME for change in changes):
+            if not self._unpublished_by_kind:
+                self.inbox.post(PublishChanges())
+            self._unpublished_by_kind.setdefault(kind, {}).update(
+                (change.name, change) for change in changes
+            )
+        if kind not in self._unpublished_by_kind:
+            self._confirm(kind)
+
+    def _publish_control(self, changes: tuple[store.Change, ...]) -> None:
         for change in changes:
             self._decoded_objects.apply(change)
-        if kind is Kind.CONTROL:
-            self._observe_control(changes)
-        elif changes:
+        self._observe_control(changes)
+
+    @task.handles(PublishChanges)
+    def _on_publish_changes(self, message: PublishChanges) -> None:
+        """Send on what has changed since the last time, and publish it."""
+        self._relay_coordinator.send_updates(self.is_leading, self.now)
+        unpublished_by_kind = self._unpublished_by_kind
+        self._unpublished_by_kind = {}
+        for kind, changes_by_name in unpublished_by_kind.items():
+            if kind is Kind.CONTROL:
+                continue
+            for change in changes_by_name.values():
+                self._decoded_objects.apply(change)
             PUBLISHERS.get(kind)(self)
-        if kind is Kind.CONFIGURATION:
-            kind_replica = self._replica.by_kind(kind)
-            self._inboxes.router.post(
-                scheduling.ConfigurationConfirmed(
-                    confirmed_at=kind_replica.confirmed_at
-                )
+            self._confirm(kind)
+
+    def _confirm(self, kind: Kind) -> None:
+        """Publish when the configuration was confirmed, if it is in force."""
+        if kind is not Kind.CONFIGURATION:
+            return
+        kind_replica = self._replica.by_kind(kind)
+        self._inboxes.router.post(
+            scheduling.ConfigurationConfirmed(
+                confirmed_at=kind_replica.confirmed_at
             )
-        if any(change.name != LEASE_OBJECT_NAME for change in changes):
-            self._relay_coordinator.send_updates(self.is_leading, self.now)
+        )
 
     def _observe_control(self, changes: tuple[store.Change, ...]) -> None:
         self._handle_event(grantor.ControlListed())
@@ -255,7 +293,9 @@
         )
         if change.name == LEASE_OBJECT_NAME:
             self._leader_log.record(
-                value, self._source, self._age(Kind.CONTROL)
+                value,
+                self._source_by_kind[Kind.CONTROL],
+                self._age(Kind.CONTROL),
             )
             if self._relay_coordinator.update_lease(value):
                 self._next_request_at = self.now
@@ -268,7 +308,10 @@
         )
         for configuration in self._decoded_objects.values(Kind.CONFIGURATION):
             diagnostics.log_configuration(
-                configuration, self._source, self.configuration_age, size
+                configuration,
+                self._source_by_kind[Kind.CONFIGURATION],
+                self.configuration_age,
+                size,
             )
             self._inboxes.router.post(
                 scheduling.ConfigurationChanged(configuration=configuration)
@@ -306,7 +349,9 @@
     def _publish_registrations(self) -> None:
         registrations = self._decoded_objects.values(Kind.REGISTRATION)
         self._upstream_log.record(
-            registrations, self._source, self._age(Kind.REGISTRATION)
+            registrations,
+            self._source_by_kind[Kind.REGISTRATION],
+            self._age(Kind.REGISTRATION),
         )
         event = upstream_events.RegistrationsChanged(
             registrations=registrations
@@ -352,7 +397,7 @@
         To others one object does not tell which changes came before it.
         """
         self._mark_store_regained(Kind.CONTROL)
-        self._source = diagnostics.Source.STORE
+        self._source_by_kind[Kind.CONTROL] = diagnostics.Source.STORE
         stored = _to_stored_object(current)
         if not is_writer:
             self._publish_changes(
--- /dev/null
+++ b/tests/runtime/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the tasks of an instance."""
