Judge a relay by data that it has sent

Cause: an instance that has just started is told its relay before it has any object; the age of its configuration is infinite then, and at the next tick, 0.1 s later at most, the relay was dropped for it and avoided for 5 s, so that all that start got everything from the leader over its link after all, which was to end: when all processes start at once, on the link that carries the lease. Class: one sign for two facts, here no data yet and data too old.

The age counts once the relay has sent an update; silence counts as before.

--- a/dragonflyshelf/core/relay/relay_selector.py
+++ b/dragonflyshelf/core/relay/relay_selector.py
@@ -37,6 +37,7 @@
         self._leader_address: addresses.Address | None = None
         self._relay_address: addresses.Address | None = None
         self._updated_at = ids.Instant(0.0)
+        self._has_relay_update = False
         self._avoid_until_by_address: dict[addresses.Address, ids.Instant] = {}
 
     @property
@@ -68,21 +69,23 @@
         """Record an update and the relay that it assigns."""
         self._updated_at = now
         if relay == addresses.NO_ADDRESS:
+            self._has_relay_update = self.uses_relay
             return
         if now >= self._avoid_until_by_address.get(relay, now):
             self._relay_address = relay
+            self._has_relay_update = False
 
     def should_drop_relay(self, age: float, now: ids.Instant) -> bool:
         """Return whether the relay is silent or its data is outdated.
 
-        ``age`` is that of the configuration.
+        ``age`` is that of the configuration. What an instance had before
+        the relay's first update is not the relay's data.
         """
         if self._relay_address is None:
             return False
-        return (
-            now - self._updated_at > RELAY_TIMEOUT_SECONDS
-            or age > MAX_CONFIGURATION_AGE_SECONDS
-        )
+        if now - self._updated_at > RELAY_TIMEOUT_SECONDS:
+            return True
+        return self._has_relay_update and age > MAX_CONFIGURATION_AGE_SECONDS
 
     def drop_relay(self, now: ids.Instant) -> None:
         """Drop the relay and revert to the leader."""
