Leave out an odd entry among the registrations by itself

Cause: reported by operators. A spec that is nested 2,000 deep raised RecursionError for the whole page of a list or watch, and an escape of a lone surrogate or an item that is no object failed it as well; watching went on failing for as long as the entry stayed. Ports 0, -5 and 99999, hosts with a NUL, 40 digits of slots and a warm-up of 1e300 s were taken; connecting to such a port raises OverflowError, which nothing expected.

Change: objects of a page are decoded one by one, what cannot be decoded is read as null (codec/json_repair.py), so an entry that became unreadable replaces its former value. Addresses, slots, warm-up and start have limits. Load reports of many digits are ignored.

--- a/dragonflyshelf/codec/control.py
+++ b/dragonflyshelf/codec/control.py
@@ -204,6 +204,7 @@
         msgspec.MsgspecError,
         errors.NotRegistered,
         KeyError,
+        RecursionError,
         TypeError,
     ) as error:
         raise errors.InvalidObject(f"control object: {error}") from error
--- a/dragonflyshelf/codec/http.py
+++ b/dragonflyshelf/codec/http.py
@@ -47,6 +47,9 @@
 MIN_LOAD_FIELD_COUNT = 3
 """Required fields of a load report; the fourth is optional."""
 
+MAX_LOAD_DIGIT_COUNT = 9
+"""Maximum length of a field of a load report."""
+
 MAX_SHARD_KEY = 65535
 """Shard keys are unsigned 16-bit numbers."""
 
@@ -350,9 +353,10 @@
     The fields are the numbers of running and waiting requests, the slots
     and optionally the current service time in percent of the usual one.
     """
-    fields = value.split(b",")
+    fields = [field.strip() for field in value.split(b",")]
     if len(fields) < MIN_LOAD_FIELD_COUNT or not all(
-        field.strip().isdigit() for field in fields
+        field.isdigit() and len(field) <= MAX_LOAD_DIGIT_COUNT
+        for field in fields
     ):
         return None
     running, waiting, slots, *optional = (int(field) for field in fields)
--- a/dragonflyshelf/platform/objects.py
+++ b/dragonflyshelf/platform/objects.py
@@ -3,6 +3,7 @@
 The fields of records are encoded by name in the platform's format.
 """
 
+import ipaddress
 from typing import Annotated, Any
 
 import msgspec
@@ -19,7 +20,25 @@
 VERSION_PREFIX = "r"
 """Prefix of the number in a configuration's version."""
 
-NonNegativeInt = Annotated[int, msgspec.Meta(ge=0)]
+MAX_SLOT_COUNT = 65535
+"""Slots of an upstream above which its registration is not believed."""
+
+MAX_WARMUP_SECONDS = 86400.0
+"""Rest of a warm-up above which a registration is not believed."""
+
+MAX_START_MS = 2**53
+"""Largest start of an upstream, in milliseconds of Unix time."""
+
+PORTS = range(1, 65536)
+MAX_PORT_DIGIT_COUNT = 5
+
+DECODING_ERRORS = (
+    msgspec.MsgspecError,
+    OverflowError,
+    RecursionError,
+    ValueError,
+)
+"""What a decoder raises for a value that another writer has left."""
 
 
 class Table(msgspec.Struct, rename="pascal"):
@@ -115,10 +134,14 @@
     service: Annotated[str, msgspec.Meta(min_length=1)]
     address: str
     zone: str
-    slots: Annotated[int, msgspec.Meta(ge=1)]
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOT_COUNT)]
     state: str
-    warmup_left_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
-    born: NonNegativeInt = msgspec.field(name="born", default=0)
+    warmup_left_s: Annotated[
+        float, msgspec.Meta(ge=0, le=MAX_WARMUP_SECONDS)
+    ] = 0.0
+    born: Annotated[int, msgspec.Meta(ge=0, le=MAX_START_MS)] = msgspec.field(
+        name="born", default=0
+    )
 
 
 def decode_configuration(spec: bytes) -> routing.Configuration:
@@ -144,7 +167,7 @@
             ),
             limits=_to_limits(record.limits),
         )
-    except (msgspec.MsgspecError, ValueError) as error:
+    except DECODING_ERRORS as error:
         raise errors.InvalidObject(f"configuration: {error}") from error
 
 
@@ -155,24 +178,36 @@
     """
     try:
         record = msgspec.json.decode(stored.spec, type=RegistrationRecord)
-        host, _, port = record.address.rpartition(":")
-        if not host or record.state not in (STATE_READY, STATE_DRAINING):
-            raise ValueError("invalid address or state")
+        host, port = _parse_address(record.address)
+        if record.state not in (STATE_READY, STATE_DRAINING):
+            raise ValueError("invalid state")
         return upstreams.Registration(
             id=ids.UpstreamId(stored.name),
             service=ids.ServiceName(record.service),
             host=host,
-            port=int(port),
+            port=port,
             data_centre=ids.DataCentreId(record.zone),
             slots=record.slots,
             is_draining=record.state == STATE_DRAINING,
             warmup_left_seconds=record.warmup_left_s,
             started_at_ms=record.born,
         )
-    except (msgspec.MsgspecError, ValueError) as error:
+    except DECODING_ERRORS as error:
         raise errors.InvalidObject(f"{stored.name}: {error}") from error
 
 
+def _parse_address(text: str) -> tuple[str, int]:
+    """Return host and port of an upstream."""
+    host, _, port_text = text.rpartition(":")
+    is_number = port_text.isascii() and port_text.isdecimal()
+    if not is_number or len(port_text) > MAX_PORT_DIGIT_COUNT:
+        raise ValueError("port is not a number")
+    port = int(port_text)
+    if port not in PORTS:
+        raise ValueError("port is out of range")
+    return str(ipaddress.ip_address(host)), port
+
+
 def _parse_version(text: str) -> ids.ConfigurationVersion:
     return ids.ConfigurationVersion(int(text.removeprefix(VERSION_PREFIX)))
 
--- a/dragonflyshelf/platform/store.py
+++ b/dragonflyshelf/platform/store.py
@@ -1,6 +1,7 @@
 """Client of the platform's object store."""
 
 import asyncio
+import contextlib
 from typing import Any
 
 from absl import logging
@@ -8,6 +9,7 @@
 import msgspec
 
 from dragonflyshelf.codec import control
+from dragonflyshelf.codec import json_repair
 from dragonflyshelf.core import addresses
 from dragonflyshelf.core import errors
 from dragonflyshelf.core.grantor import messages as grantor
@@ -29,6 +31,15 @@
 NOT_EXECUTED_STATUSES = frozenset({429, 503})
 """Statuses with which the store has not executed a write."""
 
+LIST_VALUE_LEVEL = 3
+"""Brackets around metadata and spec of an object in a list."""
+
+WATCH_VALUE_LEVEL = 4
+"""Brackets around metadata and spec of an object in a watch response."""
+
+OBJECT_VALUE_LEVEL = 1
+"""Brackets around metadata and spec of an object by itself."""
+
 
 class Metadata(msgspec.Struct, rename="pascal"):
     """Name and revision of an object."""
@@ -45,9 +56,9 @@
 
 
 class Page(msgspec.Struct):
-    """One page of a list."""
+    """One page of a list, whose objects stay encoded."""
 
-    items: list[StoreObject]
+    items: list[msgspec.Raw]
     more: bool = msgspec.field(name="More", default=False)
     revision: int = msgspec.field(name="StoreRevision", default=0)
 
@@ -60,9 +71,9 @@
 
 
 class WatchResponse(msgspec.Struct):
-    """Response to a watch: changes since a revision."""
+    """Response to a watch: encoded changes since a revision."""
 
-    events: list[WatchEvent]
+    events: list[msgspec.Raw]
     revision: int = msgspec.field(name="StoreRevision", default=0)
 
 
@@ -93,14 +104,13 @@
         query = ""
         while True:
             response = await self._async_get(path + query)
-            page = _decode(response.body, Page)
+            page = _decode(response.body, Page, LIST_VALUE_LEVEL)
             revision = revision or page.revision
-            objects.extend(
-                _to_stored_object(kind, item) for item in page.items
-            )
-            if not page.more or not page.items:
+            records = _decode_each(page.items, StoreObject)
+            objects.extend(_to_stored_object(kind, item) for item in records)
+            if not page.more or not records:
                 break
-            query = f"?after={page.items[-1].metadata.name}"
+            query = f"?after={records[-1].metadata.name}"
         return store.KindListed(
             kind=kind,
             revision=ids.Revision(revision),
@@ -122,11 +132,12 @@
         path = names.PATHS_BY_KIND[kind]
         query = f"?Watch={since}&WaitMs={int(wait * 1000)}"
         response = await self._async_get(path + query, wait)
-        events = _decode(response.body, WatchResponse)
+        page = _decode(response.body, WatchResponse, WATCH_VALUE_LEVEL)
+        events = _decode_each(page.events, WatchEvent)
         return store.KindChanged(
             kind=kind,
-            revision=ids.Revision(events.revision or since),
-            changes=tuple(_to_change(kind, event) for event in events.events),
+            revision=ids.Revision(page.revision or since),
+            changes=tuple(_to_change(kind, event) for event in events),
             confirmed_at=sent_at,
             since=since,
         )
@@ -186,13 +197,32 @@
             ) from error
 
 
-def _decode(body: bytes, record_type: type[Any]) -> Any:
-    try:
-        return msgspec.json.decode(body, type=record_type)
-    except msgspec.MsgspecError as error:
-        raise errors.PlatformUnavailable(
-            f"invalid response from the store: {error}"
-        ) from error
+def _decode(body: bytes, record_type: type[Any], value_level: int) -> Any:
+    """Return a response of the store.
+
+    What another writer has left and cannot be decoded is read as null, so
+    that the rest of the response holds. ``value_level`` is the number of
+    brackets around metadata and specs.
+    """
+    for level in (None, value_level, value_level - 1):
+        if level is not None:
+            body = json_repair.remove_invalid_values(body, level)
+        with contextlib.suppress(msgspec.MsgspecError, RecursionError):
+            return msgspec.json.decode(body, type=record_type)
+    raise errors.PlatformUnavailable("invalid response from the store")
+
+
+def _decode_each(
+    encoded_records: list[msgspec.Raw], record_type: type[Any]
+) -> list[Any]:
+    """Return the records that can be decoded, without the others."""
+    records = []
+    for encoded in encoded_records:
+        try:
+            records.append(msgspec.json.decode(encoded, type=record_type))
+        except (msgspec.MsgspecError, RecursionError) as error:
+            _LOGGER.warning("ignoring an invalid object: %s", error)
+    return records
 
 
 def _to_stored_object(
@@ -252,8 +282,8 @@
 def _decode_current(body: bytes) -> grantor.ControlObserved | None:
     """Return the object in a response; a 404 response has none."""
     try:
-        record = msgspec.json.decode(body, type=StoreObject)
-    except msgspec.MsgspecError as error:
+        record = _decode(body, StoreObject, OBJECT_VALUE_LEVEL)
+    except errors.PlatformUnavailable as error:
         _LOGGER.info("no object in the response to a write: %s", error)
         return None
     return grantor.ControlObserved(
--- a/dragonflyshelf/runtime/upstreams/pool.py
+++ b/dragonflyshelf/runtime/upstreams/pool.py
@@ -303,7 +303,7 @@
                     self._registration.host,
                     self._registration.port,
                 )
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, ValueError) as error:
             text = str(error) or "connection timed out"
             self.inbox.post(
                 ConnectFailed(
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -1,5 +1,6 @@
 """Tests of the decoding of objects in the platform's store."""
 
+import dataclasses
 import json
 
 import hypothesis
@@ -77,11 +78,23 @@
             ("Address", "nowhere"),
             ("Address", ":80"),
             ("Address", "a:b"),
+            ("Address", "10.0.0.9:0"),
+            ("Address", "10.0.0.9:-5"),
+            ("Address", "10.0.0.9:99999"),
+            ("Address", "10.0.0.9:" + "9" * 5000),
+            ("Address", "10.0.0.9:\u0663\u0663"),
+            ("Address", "10.0.0.9:8_0"),
+            ("Address", "10.0.0.9\x00:80"),
+            ("Address", "10.0.0.9 :80"),
             ("Slots", "six"),
             ("Slots", 0),
+            ("Slots", 10**40),
+            ("Slots", 65536),
             ("Service", ""),
             ("State", "asleep"),
             ("WarmupLeftS", -1),
+            ("WarmupLeftS", 1e300),
+            ("born", 10**30),
             ("born", 1.5),
         ],
     )
@@ -92,6 +105,21 @@
                 make_stored_object({**RECORD, field: value})
             )
 
+    def test_deep_value(self) -> None:
+        """A value that is nested too deeply is rejected."""
+        stored = dataclasses.replace(
+            make_stored_object(RECORD), spec=b"[" * 5000 + b"]" * 5000
+        )
+        with pytest.raises(errors.InvalidObject):
+            objects.decode_registration(stored)
+
+    @hypothesis.given(strategies.binary(max_size=64))
+    def test_any_bytes(self, spec: bytes) -> None:
+        """Any bytes are rejected with an error of the router."""
+        stored = dataclasses.replace(make_stored_object(RECORD), spec=spec)
+        with pytest.raises(errors.InvalidObject):
+            objects.decode_registration(stored)
+
     @hypothesis.given(
         strategies.fixed_dictionaries({}, optional=dict.fromkeys(RECORD, JSON))
     )
@@ -103,7 +131,9 @@
             )
         except errors.InvalidObject:
             return
-        assert registration.slots >= 1
+        assert 1 <= registration.slots <= objects.MAX_SLOT_COUNT
+        assert registration.port in objects.PORTS
+        assert registration.warmup_left_seconds <= objects.MAX_WARMUP_SECONDS
         assert registration.host
 
 
