Believe 'not run' only of the request under way

What callers see: REFUSED and TWICE. An upstream that wrote an earlier refusal once more on a kept connection made us say 'not run, try again' of a request that it was running, or send that one to a second upstream.

Cause: a refusal without the echo of the request id counted for the request under way, and a retry went over the connection on which the refusal of its first attempt, with the same id, could come again.

Change: on a connection that was used before, a refusal has to echo the request id, and any response if upstreams sign; else the outcome is unknown. A connection carries no request id twice; a retry to the same upstream gets another connection.

--- a/dragonflyshelf/runtime/upstreams/connection.py
+++ b/dragonflyshelf/runtime/upstreams/connection.py
@@ -1,6 +1,7 @@
 """Task that owns one HTTP/1.1 connection to an upstream."""
 
 import asyncio
+import collections
 import dataclasses
 import re
 from typing import Final
@@ -65,9 +66,12 @@
 SUCCESS_STATUSES: Final = range(200, 300)
 """Statuses whose responses must be signed if upstreams sign."""
 
-KEEP_ALIVE_TIMEOUT_PATTERN: Final = re.compile(rb"timeout=(\d+)")
+KEEP_ALIVE_TIMEOUT_PATTERN: Final = re.compile(rb"timeout=(\d{1,4})(?!\d)")
 """Parameter of the ``Keep-Alive`` header, in seconds."""
 
+MAX_CARRIED_ID_COUNT: Final = 64
+"""Latest requests of a connection whose ids are remembered."""
+
 
 class UpstreamConnectionTask(task.Task):
     """Processes one exchange at a time on one connection.
@@ -103,6 +107,9 @@
         """Time for which the upstream keeps an idle connection open."""
         self.has_completed_exchange = False
         """Whether an exchange has completed on this connection."""
+        self._carried_ids: collections.deque[ids.RequestId] = (
+            collections.deque(maxlen=MAX_CARRIED_ID_COUNT)
+        )
         self._reset_response_state()
 
     def _reset_response_state(self) -> None:
@@ -115,6 +122,14 @@
         self._unacknowledged_bytes = 0
         self._pending_credit = 0
 
+    def has_carried(self, request_id: ids.RequestId) -> bool:
+        """Return whether a request with this id went over the connection.
+
+        A late copy of its response could not be told from the response to
+        another request with the same id.
+        """
+        return request_id in self._carried_ids
+
     @task.handles(sockets.SocketOpened)
     def _on_socket_opened(self, message: sockets.SocketOpened) -> None:
         self._transport = message.transport
@@ -259,6 +274,7 @@
             attempt.deadline - self.now,
         )
         self._request_sent = True
+        self._carried_ids.append(attempt.head.request_id)
         self._write(
             h11.Request(
                 method=attempt.head.method,
@@ -365,17 +381,27 @@
             return "response has the id of another request"
         if b"content-encoding" in values_by_name:
             return "response has a content encoding that was not requested"
-        if not self._header_names.signature:
-            return ""
-        if event.status_code not in SUCCESS_STATUSES:
-            return ""
-        if (
-            self._header_names.signature not in values_by_name
-            or echoed_request_id is None
-        ):
-            return "response lacks its signature or request id"
+        if echoed_request_id is None and self._needs_echo(event):
+            return "response lacks the request id"
+        is_success = event.status_code in SUCCESS_STATUSES
+        signature = self._header_names.signature
+        if signature and is_success and signature not in values_by_name:
+            return "response lacks its signature"
         return ""
 
+    def _needs_echo(self, event: h11.Response) -> bool:
+        """Return whether the response has to show to which request it is.
+
+        On a connection that was used before it may be a late copy of an
+        earlier response. Upstreams that sign always echo the request id.
+        """
+        if self.has_completed_exchange:
+            if http.is_not_run_response(self._header_names, event):
+                return True
+            return bool(self._header_names.signature)
+        is_success = event.status_code in SUCCESS_STATUSES
+        return bool(self._header_names.signature) and is_success
+
     def _update_keep_alive(self, value: bytes) -> None:
         match = KEEP_ALIVE_TIMEOUT_PATTERN.search(value)
         if match is not None:
--- a/dragonflyshelf/runtime/upstreams/pool.py
+++ b/dragonflyshelf/runtime/upstreams/pool.py
@@ -98,7 +98,7 @@
     def _on_start_attempt(
         self, message: runtime_messages.StartAttempt
     ) -> None:
-        idle_connection = self._pop_idle()
+        idle_connection = self._pop_idle(message.head.request_id)
         if idle_connection is not None:
             idle_connection.inbox.post(message)
             return
@@ -107,13 +107,19 @@
             return
         self._queued_attempts.append(message)
 
-    def _pop_idle(self) -> connection.UpstreamConnectionTask | None:
+    def _pop_idle(
+        self, request_id: ids.RequestId
+    ) -> connection.UpstreamConnectionTask | None:
         """Return the most recently used connection that is not too old.
 
-        Older connections are closed.
+        Older connections are closed, and those that have carried a request
+        with the same id.
         """
         while self._idle_connections:
             idle = self._idle_connections.pop()
+            if idle.connection.has_carried(request_id):
+                self._close_connection(idle.connection)
+                continue
             max_idle_seconds = (
                 idle.connection.keep_alive_seconds * KEEP_ALIVE_RATIO
             )
@@ -177,7 +183,7 @@
         if message.connection not in self._connections:
             return
         if self._queued_attempts:
-            message.connection.inbox.post(self._queued_attempts.popleft())
+            self._start_queued_attempt(message.connection)
             return
         if self._is_retired:
             self._close_connection(message.connection)
@@ -186,6 +192,20 @@
             IdleConnection(connection=message.connection, idle_since=self.now)
         )
 
+    def _start_queued_attempt(
+        self, idle_connection: connection.UpstreamConnectionTask
+    ) -> None:
+        """Start the first queued attempt on an idle connection.
+
+        If that has carried its request id, the attempt waits for the new
+        connection that replaces it.
+        """
+        request_id = self._queued_attempts[0].head.request_id
+        if idle_connection.has_carried(request_id):
+            self._close_connection(idle_connection)
+            return
+        idle_connection.inbox.post(self._queued_attempts.popleft())
+
     @task.handles(connection.ConnectionEnded)
     def _on_connection_ended(
         self, message: connection.ConnectionEnded
