Leave an upstream alone that says in a response that it leaves or is full

Change: a connection reports both to the router as soon as the head is there. The core keeps them by start of the upstream (core/upstreams/ notices.py), so that news of the registry does not bring the same start back. What waits for a connection there is returned unsent; a request that no upstream wants in time is refused at once with the true time.

--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -33,6 +33,12 @@
 QUOTA_WINDOW_SECONDS: Final = 5.0
 """Sliding window in which the requests of a workspace are counted."""
 
+BACKOFF_GRACE_SECONDS: Final = 0.5
+"""Time after a refusal in which further requests may still arrive."""
+
+MAX_BACKOFF_REQUEST_COUNT: Final = 2
+"""Requests that may arrive in the rest of the time that was named."""
+
 MAX_RECOVERY_SECONDS: Final = 15.0
 """Time after the last fault in which all requests must succeed again."""
 
@@ -150,6 +156,51 @@
                 )
 
 
+@CHECKS.register("leaving upstreams by their responses")
+def check_leaving_responses(
+    episode: record.EpisodeRecord,
+) -> abc.Iterator[str]:
+    """Check that an instance that was told so leaves an upstream alone."""
+    for told in episode.told_notices():
+        if told.notice.backoff_seconds:
+            continue
+        told_at = told.notice.responded_at
+        for request, _ in told.later_arrivals:
+            delay = request.sent_at - told_at
+            if delay <= processes.PROMISED_CHANGE_SECONDS:
+                continue
+            if not episode.was_interrupted(
+                told.instance, told_at, request.ended_at
+            ):
+                yield (
+                    f"{request.request_id}, sent to {told.instance}"
+                    f" {delay:.2f} s after {told.upstream} had told it that"
+                    " it leaves, arrived there"
+                )
+
+
+@CHECKS.register("upstreams that want nothing for a time")
+def check_backoffs(episode: record.EpisodeRecord) -> abc.Iterator[str]:
+    """Check that an instance keeps to the time that an upstream named."""
+    for told in episode.told_notices():
+        told_at = told.notice.responded_at
+        until = told_at + told.notice.backoff_seconds
+        arrival_count = sum(
+            told_at + BACKOFF_GRACE_SECONDS < arrived_at < until
+            for _, arrived_at in told.later_arrivals
+        )
+        if arrival_count <= MAX_BACKOFF_REQUEST_COUNT:
+            continue
+        if episode.was_interrupted(told.instance, told_at, until):
+            continue
+        if episode.was_link_sound(told.upstream, until):
+            yield (
+                f"{arrival_count} requests reached {told.upstream} from"
+                f" {told.instance}, told to wait"
+                f" {told.notice.backoff_seconds:.2f} s"
+            )
+
+
 @CHECKS.register("configurations in force")
 def check_configurations(episode: record.EpisodeRecord) -> abc.Iterator[str]:
     """Check that instances in touch apply a configuration in time."""
--- a/bench/soak/planned.py
+++ b/bench/soak/planned.py
@@ -14,6 +14,7 @@
 from bench.soak import record
 from bench.soak import traffic
 from dragonflyshelf.core import registry
+from stand_ins import upstream
 
 Work = abc.Callable[
     [faults.Deployment, random.Random], abc.Coroutine[None, None, None]
@@ -26,6 +27,15 @@
 LEAVING_SECONDS: Final = (3.0, 5.0)
 """Minimum and maximum time for which an upstream is leaving."""
 
+REGISTERED_LEAVING_RATIO: Final = 0.7
+"""Share of the leaving upstreams that also say so in the registry."""
+
+BUSY_SECONDS: Final = (0.5, 2.0)
+"""Minimum and maximum time for which an upstream declines requests."""
+
+BACKOFF_SECONDS: Final = (0.6, 2.5)
+"""Minimum and maximum time that a busy upstream asks for."""
+
 PAUSE_SECONDS: Final = (0.5, 2.0)
 """Minimum and maximum time between two changes."""
 
@@ -42,21 +52,47 @@
         if name in deployment.reserved_names:
             continue
         deployment.reserved_names.add(name)
-        deployment.register(proxied_upstream, State="draining")
+        proxied_upstream.server.is_leaving = True
+        is_registered = rng.random() < REGISTERED_LEAVING_RATIO
+        if is_registered:
+            deployment.register(proxied_upstream, State="draining")
         started_at = time.monotonic()
         await asyncio.sleep(rng.uniform(*LEAVING_SECONDS))
-        deployment.episode.leavings.append(
-            record.Leaving(
-                upstream=name,
-                started_at=started_at,
-                ended_at=time.monotonic(),
+        if is_registered:
+            deployment.episode.leavings.append(
+                record.Leaving(
+                    upstream=name,
+                    started_at=started_at,
+                    ended_at=time.monotonic(),
+                )
             )
-        )
         proxied_upstream.server.crash()
         deployment.register(proxied_upstream)
         deployment.reserved_names.discard(name)
 
 
+@PLANNED.register("busy upstreams")
+async def async_decline_requests(
+    deployment: faults.Deployment, rng: random.Random
+) -> None:
+    """Let one upstream after the other decline all requests for a time."""
+    while True:
+        await asyncio.sleep(rng.uniform(*PAUSE_SECONDS))
+        proxied_upstream = rng.choice(deployment.upstreams)
+        server = proxied_upstream.server
+        if server.name in deployment.reserved_names:
+            continue
+        deployment.reserved_names.add(server.name)
+        server.fault = upstream.Fault.DECLINE
+        server.backoff_seconds = round(rng.uniform(*BACKOFF_SECONDS), 2)
+        try:
+            await asyncio.sleep(rng.uniform(*BUSY_SECONDS))
+        finally:
+            server.fault = upstream.Fault.NONE
+            server.backoff_seconds = 0.0
+            deployment.reserved_names.discard(server.name)
+
+
 @PLANNED.register("routes")
 async def async_change_routes(
     deployment: faults.Deployment, rng: random.Random
--- a/bench/soak/record.py
+++ b/bench/soak/record.py
@@ -1,6 +1,7 @@
 """Record of one episode, as input of the checks."""
 
 import collections
+from collections import abc
 import dataclasses
 import enum
 from typing import Final
@@ -76,6 +77,20 @@
     status: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ToldNotice:
+    """What an upstream told an instance about further requests.
+
+    ``later_arrivals`` are that instance's requests that arrived at the same
+    start of the upstream afterwards, with the time of their arrival.
+    """
+
+    upstream: str
+    instance: str
+    notice: upstream.Notice
+    later_arrivals: tuple[tuple[ObservedRequest, float], ...]
+
+
 @dataclasses.dataclass(kw_only=True)
 class EpisodeRecord:
     """Observations of callers, upstreams and faults during an episode.
@@ -125,6 +140,41 @@
                 requests_by_id[request.request_id].append(request)
         return requests_by_id
 
+    def told_notices(self) -> abc.Iterator[ToldNotice]:
+        """Yield what upstreams told instances about further requests."""
+        request_by_id = {
+            request.request_id: request for request in self.observed_requests
+        }
+        for server in self.upstreams:
+            for notice in server.notices:
+                told_request = request_by_id.get(notice.request_id)
+                if told_request is None:
+                    continue
+                instance = told_request.instance
+                yield ToldNotice(
+                    upstream=server.name,
+                    instance=instance,
+                    notice=notice,
+                    later_arrivals=tuple(
+                        (request_by_id[arrival.request_id], arrival.arrived_at)
+                        for arrival in server.arrivals
+                        if arrival.start == notice.start
+                        and arrival.arrived_at > notice.responded_at
+                        and arrival.request_id in request_by_id
+                        and request_by_id[arrival.request_id].instance
+                        == instance
+                    ),
+                )
+
+    def was_interrupted(
+        self, instance: str, since: float, until: float
+    ) -> bool:
+        """Return whether an instance was restarted, suspended or cut off."""
+        return any(
+            disruption.name == instance and disruption.overlaps(since, until)
+            for disruption in (*self.disruptions, *self.contact_losses)
+        )
+
     def was_disrupted(
         self, request: ObservedRequest, grace_seconds: float
     ) -> bool:
--- a/dragonflyshelf/codec/http.py
+++ b/dragonflyshelf/codec/http.py
@@ -15,6 +15,10 @@
 from dragonflyshelf.core.upstreams import objects as upstreams
 
 HEADER_OUTCOME = b"x-outcome"
+HEADER_RETRY_AFTER = b"retry-after"
+RETRY_AFTER_PATTERN = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
+MAX_UPSTREAM_RETRY_AFTER_SECONDS = 60.0
+"""Longest time for which an upstream can keep requests away."""
 
 HOP_BY_HOP_HEADERS = frozenset(
     {
@@ -88,13 +92,15 @@
 
     ``expected_upstream`` names the only upstream that may execute the
     request. ``not_run`` marks a response to a request that was not
-    executed. ``signature`` is the header with the upstream's signature of
+    executed, ``leaving`` one of an upstream that begins to leave.
+    ``signature`` is the header with the upstream's signature of
     its response, empty if upstreams do not sign.
     """
 
     caller_key: bytes = b"x-caller-key"
     deadline: bytes = b"x-deadline-ms"
     expected_upstream: bytes = b"x-upstream"
+    leaving: bytes = b"x-leaving"
     load: bytes = b"x-load"
     not_run: bytes = b"x-not-run"
     request_id: bytes = b"x-request-id"
@@ -292,7 +298,7 @@
         (HEADER_OUTCOME, error.outcome.value.encode()),
     ]
     if error.retry_after > 0:
-        headers.append((b"retry-after", b"%.2f" % error.retry_after))
+        headers.append((HEADER_RETRY_AFTER, b"%.2f" % error.retry_after))
     return headers
 
 
@@ -366,6 +372,28 @@
     )
 
 
+def is_leaving(
+    header_names: HeaderNames, values_by_name: dict[bytes, bytes]
+) -> bool:
+    """Return whether an upstream says that it leaves."""
+    return values_by_name.get(header_names.leaving, b"").strip() == b"1"
+
+
+def parse_retry_after(
+    status: int, values_by_name: dict[bytes, bytes]
+) -> float:
+    """Return for how many seconds an upstream wants no requests.
+
+    It is 0 if the response does not say so, or not as a number.
+    """
+    value = values_by_name.get(HEADER_RETRY_AFTER, b"").strip()
+    if status != STATUS_SERVICE_UNAVAILABLE:
+        return 0.0
+    if RETRY_AFTER_PATTERN.fullmatch(value) is None:
+        return 0.0
+    return min(float(value), MAX_UPSTREAM_RETRY_AFTER_SECONDS)
+
+
 def response_headers(
     header_names: HeaderNames, headers: list[tuple[bytes, bytes]]
 ) -> tuple[messages.Header, ...]:
@@ -373,7 +401,7 @@
     dropped = (
         HOP_BY_HOP_HEADERS
         | _find_connection_headers(headers)
-        | {header_names.load}
+        | {header_names.leaving, header_names.load}
     )
     if any(name == b"transfer-encoding" for name, _ in headers):
         dropped = dropped | {b"content-length"}
--- a/dragonflyshelf/core/scheduling/coordinator.py
+++ b/dragonflyshelf/core/scheduling/coordinator.py
@@ -434,6 +434,26 @@
         self.fleet.set_registrations(event.registrations, now)
         return self._requeue_waiting(now)
 
+    @HANDLERS.register(upstream_events.UpstreamNotice)
+    def _on_upstream_notice(
+        self, event: upstream_events.UpstreamNotice, now: ids.Instant
+    ) -> Effects:
+        """Send nothing more to an upstream that leaves or has no room."""
+        notices = self.fleet.notices
+        incarnation = event.incarnation
+        is_new = False
+        if event.backoff_seconds > 0:
+            notices.record_backoff(incarnation, event.backoff_seconds, now)
+            is_new = True
+        if event.is_leaving:
+            is_new = notices.record_leaving(incarnation, now) or is_new
+        if not is_new:
+            return []
+        return [
+            messages.ReturnUnsent(incarnation=incarnation),
+            *self._requeue_waiting(now),
+        ]
+
     @HANDLERS.register(upstream_events.EvacuationsChanged)
     def _on_evacuations_changed(
         self, event: upstream_events.EvacuationsChanged, now: ids.Instant
--- a/dragonflyshelf/core/scheduling/dispatcher.py
+++ b/dragonflyshelf/core/scheduling/dispatcher.py
@@ -41,16 +41,14 @@
         incarnation: ids.UpstreamIncarnation | None = None
         target_queue = service.queue
         if self._fleet.is_sharded(exchange.service):
-            incarnation = self._find_holder(
-                service, exchange
-            ).registration.incarnation
+            holder = self._find_holder(service, exchange)
+            candidates = [holder]
+            incarnation = holder.registration.incarnation
             target_queue = service.holder_queue(incarnation)
-        elif not self._fleet.usable_upstreams(exchange.service):
-            raise errors.NoUpstreamAvailable(
-                f"service {exchange.service} has no available upstream",
-                retry_after=const.MAX_RETRY_AFTER_SECONDS / 2,
-            )
+        else:
+            candidates = self._find_usable_upstreams(exchange.service)
         latest_start = self._latest_start(service, exchange, now)
+        self._check_backoff(candidates, latest_start, now)
         if len(target_queue):
             self._check_wait(
                 service, incarnation, target_queue, exchange, latest_start, now
@@ -68,6 +66,33 @@
         exchange.current_queue = target_queue
         self._exchanges_by_id[exchange.id] = exchange
 
+    def _find_usable_upstreams(
+        self, service: ids.ServiceName
+    ) -> list[state.UpstreamState]:
+        upstreams = self._fleet.usable_upstreams(service)
+        if not upstreams:
+            raise errors.NoUpstreamAvailable(
+                f"service {service} has no available upstream",
+                retry_after=const.MAX_RETRY_AFTER_SECONDS / 2,
+            )
+        return upstreams
+
+    def _check_backoff(
+        self,
+        candidates: abc.Sequence[state.UpstreamState],
+        latest_start: ids.Instant,
+        now: ids.Instant,
+    ) -> None:
+        """Raise ``Overloaded`` if all want nothing until it is too late."""
+        backoff_until = min(map(self._fleet.backoff_until, candidates))
+        if backoff_until <= latest_start:
+            return
+        wait = backoff_until - now
+        raise errors.Overloaded(
+            f"no upstream wants requests for {wait:.2f} s",
+            retry_after=retries.bounded_retry_after(wait),
+        )
+
     def _find_holder(
         self, service: services.ServiceState, exchange: exchanges.Exchange
     ) -> state.UpstreamState:
--- a/dragonflyshelf/core/scheduling/fleet.py
+++ b/dragonflyshelf/core/scheduling/fleet.py
@@ -7,6 +7,7 @@
 from dragonflyshelf.core.scheduling import service as services
 from dragonflyshelf.core import settings
 from dragonflyshelf.core.upstreams import choice
+from dragonflyshelf.core.upstreams import notices
 from dragonflyshelf.core.upstreams import objects
 from dragonflyshelf.core.upstreams import ramp
 from dragonflyshelf.core.upstreams import state
@@ -19,6 +20,7 @@
         """Create a fleet without upstreams."""
         self._data_centre = instance.data_centre
         self.ramp = ramp.WarmupRamp(instance.name)
+        self.notices = notices.UpstreamNotices()
         self._states_by_service: dict[
             ids.ServiceName, services.ServiceState
         ] = {}
@@ -117,12 +119,16 @@
         registration = upstream.registration
         if registration.is_draining:
             return False
+        if self.notices.is_leaving(registration.incarnation):
+            return False
         return registration.data_centre not in self._evacuated_data_centres
 
     def can_accept(
         self, upstream: state.UpstreamState, now: ids.Instant
     ) -> bool:
         """Return whether an upstream has capacity for a request now."""
+        if now < self.backoff_until(upstream):
+            return False
         if not upstream.has_capacity(now):
             return False
         if not upstream.is_warming_up(now):
@@ -132,6 +138,10 @@
             upstream.registration.incarnation, rate, now
         )
 
+    def backoff_until(self, upstream: state.UpstreamState) -> ids.Instant:
+        """Return until when an upstream wants no requests."""
+        return self.notices.backoff_until(upstream.registration.incarnation)
+
     def record_attempt(
         self, upstream: state.UpstreamState, now: ids.Instant
     ) -> None:
--- a/dragonflyshelf/core/scheduling/messages.py
+++ b/dragonflyshelf/core/scheduling/messages.py
@@ -110,7 +110,16 @@
     exchange: ids.ExchangeId
 
 
-Effect = CancelAttempt | Refuse | SendUpstream | quota.TokenRequest
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ReturnUnsent:
+    """Effect: return what has not been sent to an upstream yet."""
+
+    incarnation: ids.UpstreamIncarnation
+
+
+Effect = (
+    CancelAttempt | Refuse | ReturnUnsent | SendUpstream | quota.TokenRequest
+)
 Event = (
     AssignmentsChanged
     | AttemptFinished
@@ -124,4 +133,5 @@
     | settings.SettingsChanged
     | TimePassed
     | quota.TokenAllocation
+    | upstream_events.UpstreamNotice
 )
--- a/dragonflyshelf/core/upstreams/messages.py
+++ b/dragonflyshelf/core/upstreams/messages.py
@@ -21,6 +21,19 @@
     data_centres: frozenset[ids.DataCentreId]
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class UpstreamNotice:
+    """Event: an upstream has said in a response what it wants.
+
+    It leaves if ``is_leaving`` is set, and wants nothing for
+    ``backoff_seconds``, which are 0 if it has not said so.
+    """
+
+    incarnation: ids.UpstreamIncarnation
+    is_leaving: bool = False
+    backoff_seconds: float = 0.0
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class ServiceTimesChanged:
     """Event: new service times, measured by all instances."""
--- a/dragonflyshelf/platform/names.py
+++ b/dragonflyshelf/platform/names.py
@@ -12,6 +12,7 @@
     caller_key=b"x-api-key",
     deadline=b"deadline-ms",
     expected_upstream=b"expect-instance",
+    leaving=b"server-leaving",
     load=b"load-report",
     not_run=b"not-executed",
     request_id=b"request-id",
--- a/dragonflyshelf/runtime/gateway/router.py
+++ b/dragonflyshelf/runtime/gateway/router.py
@@ -185,6 +185,22 @@
             if registration.is_draining:
                 self._return_unsent_attempts(registration.incarnation)
 
+    @task.handles(upstream_events.UpstreamNotice)
+    def _on_upstream_notice(
+        self, message: upstream_events.UpstreamNotice
+    ) -> None:
+        _LOGGER.info(
+            "upstream %s: leaves %s, wants nothing for %.2f s",
+            message.incarnation,
+            message.is_leaving,
+            message.backoff_seconds,
+        )
+        self._handle_event(message)
+
+    @EFFECT_HANDLERS.register(scheduling.ReturnUnsent)
+    def _return_unsent(self, effect: scheduling.ReturnUnsent) -> None:
+        self._return_unsent_attempts(effect.incarnation)
+
     def _return_unsent_attempts(
         self, incarnation: ids.UpstreamIncarnation
     ) -> None:
--- a/dragonflyshelf/runtime/upstreams/connection.py
+++ b/dragonflyshelf/runtime/upstreams/connection.py
@@ -14,6 +14,7 @@
 from dragonflyshelf.core import messages
 from dragonflyshelf.core import settings
 from dragonflyshelf.core import states
+from dragonflyshelf.core.upstreams import messages as upstream_events
 from dragonflyshelf.core.upstreams import objects as upstreams
 from dragonflyshelf.core.upstreams import state
 from dragonflyshelf.runtime import inbox
@@ -341,6 +342,7 @@
         if response_error:
             self._fail_with_upstream_error(response_error)
             return
+        self._report_notice(attempt, event.status_code, values_by_name)
         self._status = event.status_code
         self._load_report = http.parse_load_report(
             values_by_name.get(self._header_names.load, b"")
@@ -368,6 +370,24 @@
             )
         )
 
+    def _report_notice(
+        self,
+        attempt: runtime_messages.StartAttempt,
+        status: int,
+        values_by_name: dict[bytes, bytes],
+    ) -> None:
+        """Report that the upstream leaves or wants nothing for a time."""
+        is_leaving = http.is_leaving(self._header_names, values_by_name)
+        backoff_seconds = http.parse_retry_after(status, values_by_name)
+        if is_leaving or backoff_seconds:
+            self._router.post(
+                upstream_events.UpstreamNotice(
+                    incarnation=attempt.registration.incarnation,
+                    is_leaving=is_leaving,
+                    backoff_seconds=backoff_seconds,
+                )
+            )
+
     def _find_response_error(
         self,
         attempt: runtime_messages.StartAttempt,
--- a/stand_ins/upstream.py
+++ b/stand_ins/upstream.py
@@ -46,6 +46,29 @@
     started_at: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Notice:
+    """What a response said about further requests; times are monotonic.
+
+    ``backoff_seconds`` is 0 if the upstream said that it leaves. ``start``
+    is the incarnation of the upstream, its start in Unix milliseconds.
+    """
+
+    request_id: str
+    responded_at: float
+    start: int
+    backoff_seconds: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Arrival:
+    """Arrival of a caller's request, whether it is executed or declined."""
+
+    request_id: str
+    arrived_at: float
+    start: int
+
+
 class UpstreamServer:
     """Runs requests in its slots and records them in ``executed_requests``."""
 
@@ -66,6 +89,10 @@
         self.fault = Fault.NONE
         self.started_at_ms = int(time.time() * 1000)
         self.executed_requests: list[ExecutedRequest] = []
+        self.arrivals: list[Arrival] = []
+        self.notices: list[Notice] = []
+        self.is_leaving = False
+        self.backoff_seconds = 0.0
         self.grants_by_bucket: dict[int, BucketGrant] = {}
         self.on_grant: abc.Callable[[range, float], None] = _ignore_grant
         self._free_slots = asyncio.Semaphore(slots)
@@ -89,6 +116,7 @@
     def crash(self) -> None:
         """Drop all grants and begin an incarnation with a later start."""
         self.grants_by_bucket.clear()
+        self.is_leaving = False
         self.started_at_ms = max(
             int(time.time() * 1000), self.started_at_ms + 1
         )
@@ -111,6 +139,47 @@
 
     async def _async_handle(
         self, request: http_server.ServerRequest
+    ) -> http_server.ServerResponse:
+        request_id = request.headers.get("request-id")
+        if request_id is None:
+            return await self._async_respond(request)
+        start = self.started_at_ms
+        self.arrivals.append(
+            Arrival(
+                request_id=request_id, arrived_at=time.monotonic(), start=start
+            )
+        )
+        response = await self._async_respond(request)
+        headers = (
+            *response.headers,
+            ("request-id", request_id),
+            *self._give_notices(request_id, response.status, start),
+        )
+        return dataclasses.replace(response, headers=headers)
+
+    def _give_notices(
+        self, request_id: str, status: int, start: int
+    ) -> abc.Iterator[tuple[str, str]]:
+        """Yield the headers about further requests, and record them."""
+        now = time.monotonic()
+        if self.is_leaving:
+            self.notices.append(
+                Notice(request_id=request_id, responded_at=now, start=start)
+            )
+            yield ("server-leaving", "1")
+        if self.backoff_seconds and status == 503:
+            self.notices.append(
+                Notice(
+                    request_id=request_id,
+                    responded_at=now,
+                    start=start,
+                    backoff_seconds=self.backoff_seconds,
+                )
+            )
+            yield ("retry-after", str(self.backoff_seconds))
+
+    async def _async_respond(
+        self, request: http_server.ServerRequest
     ) -> http_server.ServerResponse:
         expected_name = request.headers.get("expect-instance", self.name)
         if expected_name != self.name:
@@ -157,7 +226,7 @@
         await asyncio.sleep(self.run_seconds)
         if self.fault is Fault.SILENT:
             await asyncio.Event().wait()
-        headers = [("request-id", request_id)]
+        headers = []
         if self.fault is not Fault.NO_SEAL:
             headers.append(("response-seal", f"seal-{request_id}"))
         status = 500 if self.fault is Fault.SERVER_ERROR else 200
--- a/tests/bench/test_soak.py
+++ b/tests/bench/test_soak.py
@@ -59,6 +59,31 @@
     )
 
 
+def plant_notice(
+    episode: record.EpisodeRecord,
+    backoff_seconds: float,
+    arrived_at_by_id: dict[str, float],
+) -> None:
+    """Add a notice in the response to request a, and later arrivals."""
+    (server,) = episode.upstreams
+    server.notices.append(
+        upstream.Notice(
+            request_id="a",
+            responded_at=100.2,
+            start=server.started_at_ms,
+            backoff_seconds=backoff_seconds,
+        )
+    )
+    server.arrivals.extend(
+        upstream.Arrival(
+            request_id=request_id,
+            arrived_at=arrived_at,
+            start=server.started_at_ms,
+        )
+        for request_id, arrived_at in arrived_at_by_id.items()
+    )
+
+
 VIOLATING_EPISODES = {
     "at most once": make_episode(
         make_observed("a", Kind.ORDER, "502"),
@@ -83,6 +108,14 @@
         make_observed("a", Kind.READ, "200"),
         executed=(make_executed("a", arrived_at=100.1),),
     ),
+    "leaving upstreams by their responses": make_episode(
+        make_observed("a", Kind.READ, "200"),
+        make_observed("b", Kind.READ, "200", sent_at=103.0, ended_at=103.4),
+    ),
+    "upstreams that want nothing for a time": make_episode(
+        make_observed("a", Kind.READ, "503"),
+        *(make_observed(f"r{n}", Kind.READ, "200") for n in range(3)),
+    ),
     "configurations in force": make_episode(),
     "one holder": make_episode(),
     "rates": make_episode(
@@ -106,6 +139,16 @@
 VIOLATING_EPISODES["leaving upstreams"].leavings.append(
     record.Leaving(upstream="u1", started_at=97.5, ended_at=101.0)
 )
+plant_notice(
+    VIOLATING_EPISODES["leaving upstreams by their responses"],
+    backoff_seconds=0.0,
+    arrived_at_by_id={"b": 103.1},
+)
+plant_notice(
+    VIOLATING_EPISODES["upstreams that want nothing for a time"],
+    backoff_seconds=2.0,
+    arrived_at_by_id={f"r{n}": 101.0 for n in range(3)},
+)
 VIOLATING_EPISODES["configurations in force"].route_probes.append(
     record.RouteProbe(
         instance="instance-1",
--- a/tests/runtime/upstreams/test_connection.py
+++ b/tests/runtime/upstreams/test_connection.py
@@ -13,6 +13,7 @@
 from dragonflyshelf.core import ids
 from dragonflyshelf.core import messages
 from dragonflyshelf.core import states
+from dragonflyshelf.core.upstreams import messages as upstream_events
 from dragonflyshelf.core.upstreams import objects as upstreams
 from dragonflyshelf.core.upstreams import state
 from dragonflyshelf.runtime import inbox
@@ -485,3 +486,67 @@
                 assert not harness.origin
 
         asyncio.run(async_run())
+
+
+class TestNotices:
+    """What a response says about further requests reaches the router."""
+
+    @pytest.mark.parametrize("status", [200, 404, 421, 500, 503])
+    def test_leaving(self, status: int) -> None:
+        """Any response may say that the upstream leaves."""
+
+        async def async_run() -> None:
+            async with async_run_harness() as harness:
+                harness.start()
+                await harness.async_wait_attached()
+                harness.writer.write(
+                    b"HTTP/1.1 %d x\r\nX-Leaving: 1\r\n"
+                    b"Content-Length: 0\r\n\r\n" % status
+                )
+                notice = await fakes.async_receive(harness.router)
+                assert notice == upstream_events.UpstreamNotice(
+                    incarnation=REGISTRATION.incarnation, is_leaving=True
+                )
+                await harness.async_attempt_ended()
+                for message in harness.origin_messages():
+                    if isinstance(message, messages.ResponseHead):
+                        names = [header.name for header in message.headers]
+                        assert b"x-leaving" not in names
+
+        asyncio.run(async_run())
+
+    @pytest.mark.parametrize(
+        ("status", "value", "seconds"),
+        [
+            (503, b"2", 2.0),
+            (503, b"0.75", 0.75),
+            (503, b"99999999", 60.0),
+            (503, b"1e9", None),
+            (503, b"-1", None),
+            (503, b"9" * 400, None),
+            (503, b"Fri, 01 Jan 2027 00:00:00 GMT", None),
+            (429, b"2", None),
+        ],
+    )
+    def test_retry_after(
+        self, status: int, value: bytes, seconds: float | None
+    ) -> None:
+        """A 503 may say for how long nothing is wanted, within limits."""
+
+        async def async_run() -> None:
+            async with async_run_harness() as harness:
+                harness.start()
+                await harness.async_wait_attached()
+                harness.writer.write(
+                    b"HTTP/1.1 %d x\r\nX-Not-Run: 1\r\nRetry-After: %s\r\n"
+                    b"Content-Length: 0\r\n\r\n" % (status, value)
+                )
+                message = await fakes.async_receive(harness.router)
+                if seconds is None:
+                    assert isinstance(message, runtime_messages.AttemptEnded)
+                    return
+                assert message.backoff_seconds == seconds
+                ended = await harness.async_attempt_ended()
+                assert ended.result is state.AttemptResult.DECLINED
+
+        asyncio.run(async_run())
