Play planned stops in the histories of lease and ranges

The rule OWNER was broken amid a rolling restart, and no history had one. Every second history of 'make histories' stops the leader in turn now, with upstreams that drain, releases that get lost and grants that wait behind others. Random numbers of their own keep the faults of old seeds.

--- a/bench/histories.py
+++ b/bench/histories.py
@@ -14,8 +14,11 @@
 
 
 def run_simulation(seed: int) -> str:
-    """Run one simulation; return the failure found, or an empty text."""
-    simulation = simulations.Simulation(seed)
+    """Run one simulation; return the failure found, or an empty text.
+
+    Every second one has planned stops too.
+    """
+    simulation = simulations.Simulation(seed, planned_stops=seed % 2 == 1)
     simulation.run(FAULTS_START_SECONDS)
     simulation.inject_faults(FAULTS_END_SECONDS)
     simulation.run(SIMULATION_END_SECONDS)
--- a/tests/core/grantor/simulation.py
+++ b/tests/core/grantor/simulation.py
@@ -39,6 +39,7 @@
     name: ids.UpstreamId
     started_at_ms: int = 1
     is_up: bool = True
+    is_draining: bool = False
     epochs: dict[int, int] = dataclasses.field(default_factory=dict)
     grants: dict[int, tuple[int, float]] = dataclasses.field(
         default_factory=dict
@@ -53,7 +54,7 @@
             port=80,
             data_centre=ids.DataCentreId("a"),
             slots=6,
-            is_draining=False,
+            is_draining=self.is_draining,
             warmup_left_seconds=0.0,
             started_at_ms=self.started_at_ms,
         )
@@ -105,9 +106,18 @@
 class Simulation:
     """One randomized simulation."""
 
-    def __init__(self, seed: int, candidates: int = 3) -> None:
-        """Create a store, candidates and upstreams."""
+    def __init__(
+        self, seed: int, candidates: int = 3, planned_stops: bool = False
+    ) -> None:
+        """Create a store, candidates and upstreams.
+
+        With ``planned_stops`` candidates are also stopped and started in
+        turn, and grants wait for calls before them. These have random
+        numbers of their own, so that a seed keeps its faults.
+        """
         self.random = random.Random(seed)
+        self.stop_random = random.Random(f"stops {seed}")
+        self.planned_stops = planned_stops
         self.now = 0.0
         self.events: list[tuple[float, int, Any]] = []
         self.event_numbers = itertools.count()
@@ -244,7 +254,50 @@
         if isinstance(effect, messages.WriteControl):
             self._send_write(candidate, effect)
         elif isinstance(effect, messages.GrantRange | messages.ReleaseRange):
-            self._send_call(candidate, effect)
+            if self._is_release_lost(effect):
+                self._lose_release(candidate, effect)
+                return
+            wait = self._queue_time(candidate, effect)
+            if wait:
+                self.schedule(
+                    wait, lambda: self._send_queued(candidate, effect)
+                )
+            else:
+                self._send_call(candidate, effect)
+
+    def _is_release_lost(self, call: Any) -> bool:
+        if not self.planned_stops or self.now > self.faults_end_at:
+            return False
+        is_release = isinstance(call, messages.ReleaseRange)
+        return is_release and self.stop_random.random() < 0.7
+
+    def _lose_release(
+        self, candidate: Candidate, call: messages.ReleaseRange
+    ) -> None:
+        """Report that a release did not arrive."""
+        completed = messages.RangeCallCompleted(
+            call=call,
+            outcome=messages.CallOutcome.LOST,
+            sent_at=ids.Instant(self.now),
+        )
+        self.schedule(0.5, lambda: self.deliver(candidate, completed))
+
+    def _queue_time(self, candidate: Candidate, call: Any) -> float:
+        """Return for how long a call waits for those before it."""
+        if not self.planned_stops or self.now > self.faults_end_at:
+            return 0.0
+        if isinstance(call, messages.ReleaseRange):
+            return 0.0
+        if self.stop_random.random() < 0.8:
+            return 0.0
+        return self.config.grants.call_timeout * self.stop_random.random()
+
+    def _send_queued(
+        self, candidate: Candidate, call: messages.GrantRange
+    ) -> None:
+        """Send a grant that has waited, though its sender has resigned."""
+        if candidate.is_up and self.now <= call.send_deadline:
+            self._send_call(candidate, call)
 
     def _send_write(
         self, candidate: Candidate, write: messages.WriteControl
@@ -358,10 +411,48 @@
             self._crash_upstream,
             self._start_store_outage,
         )
+        if self.planned_stops:
+            self._schedule_stop()
         while self.now < end_at:
             self.run(self.now + 0.3 + 1.5 * self.random.random())
             self.random.choice(faults)()
 
+    def _schedule_stop(self) -> None:
+        self.schedule(
+            0.5 + 3 * self.stop_random.random(), self._stop_candidate
+        )
+
+    def _stop_candidate(self) -> None:
+        """Stop the leader, or another candidate, and start it again."""
+        if self.now > self.faults_end_at:
+            return
+        self._schedule_stop()
+        leaders = self.leaders()
+        candidate = (
+            leaders[0] if leaders else self.stop_random.choice(self.candidates)
+        )
+        self._drain_upstream()
+        self.deliver(candidate, messages.Resign())
+        self.schedule(
+            0.5 + self.stop_random.random(),
+            lambda: self._replace_candidate(candidate),
+        )
+
+    def _drain_upstream(self) -> None:
+        """Register an upstream as draining for a time."""
+        upstream = self.stop_random.choice(self.upstreams)
+        upstream.is_draining = True
+        self.schedule(4.0, lambda: self._end_drain(upstream))
+
+    def _end_drain(self, upstream: Upstream) -> None:
+        upstream.is_draining = False
+
+    def _replace_candidate(self, candidate: Candidate) -> None:
+        if candidate.is_up and candidate in self.candidates:
+            candidate.is_up = False
+            index = self.candidates.index(candidate)
+            self.candidates[index] = self.candidate(index)
+
     def _random_candidate(self) -> Candidate:
         leaders = self.leaders()
         if leaders and self.random.random() < 0.7:
