Let the released lease name grants that are still on their way

Cause: a leader may send a requested grant until one call timeout later, which takes another one to arrive. It accounts for both itself, but the lease that it releases at a stop named only the grants of its predecessors, so a successor counted as if none were on its way.

Evidence: TestLeaderThatResigns holds a grant up for 0.9 s, loses releases and failed before: u0 and u2 held keys from 11.39 s on.

Change: the released lease says that grants may arrive for two call timeouts, 1 s, which a successor adds to the hold when it moves a range whose holder does not respond to the release.

--- a/dragonflyshelf/core/grantor/lease.py
+++ b/dragonflyshelf/core/grantor/lease.py
@@ -14,6 +14,7 @@
 from dragonflyshelf.core.grantor import const
 from dragonflyshelf.core.grantor import messages
 from dragonflyshelf.core.grantor import objects
+from dragonflyshelf.core.grantor import range_grants
 from dragonflyshelf.core import ids
 from dragonflyshelf.core import settings
 from dragonflyshelf.core.store import messages as store
@@ -45,6 +46,10 @@
         """Create a manager; ``own_lease`` is the lease that it writes."""
         self._config = config.leadership
         self._continue_for = config.grants.continue_for
+        self._delivery_time = (
+            range_grants.MAX_DELIVERY_TIMEOUT_COUNT
+            * config.grants.call_timeout
+        )
         self._own_lease = own_lease
         self._lease: objects.Lease | None = None
         self._revision = ids.Revision(0)
@@ -193,7 +198,11 @@
         return self._pending_write
 
     def resign(self) -> messages.WriteControl | None:
-        """Release the lease, so that another instance can acquire it early."""
+        """Release the lease, so that another instance can acquire it early.
+
+        Grants that have been requested before may still arrive until their
+        calls have timed out.
+        """
         self._resigned = True
         if self.role is not Role.LEADER or not self.is_holder:
             return None
@@ -204,6 +213,7 @@
                 self._lease,
                 holder=ids.InstanceId(""),
                 count=self._lease.count + 1,
+                former_for=max(self._lease.former_for, self._delivery_time),
             )
         )
 
--- a/dragonflyshelf/core/grantor/range_grants.py
+++ b/dragonflyshelf/core/grantor/range_grants.py
@@ -10,6 +10,12 @@
 MAX_DELIVERY_DELAY_SECONDS = 0.1
 """Longest assumed network delay of a grant whose response was lost."""
 
+MAX_DELIVERY_TIMEOUT_COUNT = 2
+"""Timeouts of a call after which a requested grant can't arrive any more.
+
+It may wait for one to be sent, and then takes another one at most.
+"""
+
 NOT_GRANTED_OUTCOMES = frozenset(
     {
         messages.CallOutcome.FENCED,
--- a/dragonflyshelf/core/grantor/shards.py
+++ b/dragonflyshelf/core/grantor/shards.py
@@ -369,7 +369,11 @@
         grant.next_call_at = ids.Instant(now + self._config.renew_interval)
         send_deadline = ids.Instant(now + self._config.call_timeout)
         grant.pending_until = range_grants.latest_expiry(
-            ids.Instant(send_deadline + self._config.call_timeout),
+            ids.Instant(
+                now
+                + range_grants.MAX_DELIVERY_TIMEOUT_COUNT
+                * self._config.call_timeout
+            ),
             self._config.hold,
             self._config.clock_rate,
         )
--- a/tests/core/grantor/simulation.py
+++ b/tests/core/grantor/simulation.py
@@ -88,6 +88,8 @@
         self.grants.clear()
 
 
+RangeCall = messages.GrantRange | messages.ReleaseRange
+
 KEY_STEP = 4096
 """Distance between the keys that are checked."""
 
--- a/tests/core/grantor/test_histories.py
+++ b/tests/core/grantor/test_histories.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from dragonflyshelf.core.grantor import messages
 from tests.core.grantor import simulation as simulations
 
 SEED_COUNT = 40
@@ -65,6 +66,42 @@
         assert restarted.core.lease_manager.predecessor_until > 16.0
 
 
+class TestLeaderThatResigns:
+    """OWNER: a grant on its way at a resignation outlived the former one."""
+
+    def test_grant_that_arrives_late(self) -> None:
+        """The successor waits for it before it grants the range anew."""
+        simulation = simulations.Simulation(6, planned_stops=True)
+        simulation.run(8.0)
+        (leader,) = simulation.leaders()
+        upstream = simulation.upstreams[0]
+        send_call = simulation._send_call
+        late_calls = []
+
+        def send_late(
+            candidate: simulations.Candidate, call: simulations.RangeCall
+        ) -> None:
+            if isinstance(call, messages.ReleaseRange):
+                simulation._lose_release(candidate, call)
+            elif candidate is leader and call.registration.id == upstream.name:
+                late_calls.append(call)
+                simulation.schedule(
+                    simulation.config.grants.call_timeout * 1.8,
+                    lambda: send_call(candidate, call),
+                )
+            else:
+                send_call(candidate, call)
+
+        simulation._send_call = send_late  # type: ignore[method-assign]
+        while not late_calls:
+            simulation.run(simulation.now + 0.05)
+        simulation.deliver(leader, messages.Resign())
+        upstream.is_draining = True
+        simulation.run(16.0)
+        assert simulation.double_grants == []
+        assert leader not in simulation.leaders()
+
+
 class TestRecovery:
     """Time until every key has a holder again."""
 
