--- a/tests/runtime/store/test_write.py
+++ b/tests/runtime/store/test_write.py
@@ -10,6 +10,7 @@
 from dragonflyshelf.core import ids
 from dragonflyshelf.core import settings
 from dragonflyshelf.core.store import messages as store
+from dragonflyshelf.runtime import http_server
 from dragonflyshelf.runtime import inbox
 from dragonflyshelf.runtime.store import write
 from tests.runtime import deployment
@@ -56,3 +57,45 @@
             logger.removeHandler(caplog.handler)
         assert completed.outcome is store.WriteOutcome.UNKNOWN
         assert "writing control object lease failed" in caplog.text
+
+
+class TestSlowWriteOfAPlan:
+    """A leader lost its lease as the renewal waited for another write."""
+
+    async def async_write_both(self) -> grantor.ControlWriteCompleted:
+        """Write a plan, which gets no response, then renew the lease."""
+
+        async def async_handle(
+            request: http_server.ServerRequest,
+        ) -> http_server.ServerResponse:
+            if "shards" in request.body.decode():
+                await asyncio.Event().wait()
+            return http_server.ServerResponse(status=503)
+
+        server = http_server.HttpServer(async_handle)
+        await server.async_listen(deployment.HOST, 0)
+        control_inbox = inbox.Inbox("control")
+        config = settings.StoreSettings(
+            address=f"{deployment.HOST}:{server.port}"
+        )
+        write_task = write.StoreWriteTask(config, control_inbox)
+        async with write_task.async_running(), asyncio.timeout(5):
+            for name in ("shards-letters", "lease"):
+                write_task.inbox.post(
+                    grantor.WriteControl(
+                        name=ids.ObjectName(name),
+                        expected_revision=ids.Revision(0),
+                        value=LEASE,
+                        timeout=3.0,
+                    )
+                )
+            await control_inbox.async_wait()
+        server.close()
+        completed: grantor.ControlWriteCompleted = control_inbox.pop()
+        return completed
+
+    def test_renewal_does_not_wait(self) -> None:
+        """The lease is written while the plan gets no response."""
+        completed = asyncio.run(self.async_write_both())
+        assert completed.write.name == "lease"
+        assert completed.outcome is store.WriteOutcome.FAILED
