Tell an instance that comes to a new leader only its relay

Cause, from the log: at a new leader all its calls time out together, grants to 70 upstreams, writes of the lease and of plans, while its control task is not late: its link is full. All instances come to it at once, and each got the changes that it lacked and the names of 195 instances, 4 KB, before it left for its relay: about 1 MB on a link of 6 Mbit/s, over a second. The next leader meets the same.

Change: the first response on a link names the relay and nothing else, not only for instances that have just started. A follower that does not use that relay asks again at once.

Result: test_takeover_among_many: 5 of 194 followers get objects, 194 before.

--- a/dragonflyshelf/core/relay/followers.py
+++ b/dragonflyshelf/core/relay/followers.py
@@ -52,10 +52,9 @@
     loads_reported_at: ids.Instant = ids.Instant(0.0)
 
     @property
-    def has_just_started(self) -> bool:
-        """Return whether it lacks a kind and has been sent nothing yet."""
-        is_complete = all(known.revision for known in self.request.known)
-        return not self.sent_count and not is_complete
+    def is_new(self) -> bool:
+        """Return whether nothing has been sent on its link yet."""
+        return not self.sent_count
 
 
 class Followers:
@@ -180,29 +179,28 @@
     ) -> messages.Update:
         """Return the changes not yet sent on a link, and mark them as sent.
 
-        ``complete_at`` is up to when this instance knows all changes. A
-        follower that has just started is only told its relay at first.
+        ``complete_at`` is up to when this instance knows all changes. A new
+        follower is only told its relay at first: all instances come to a
+        new leader at once, and its link may be narrow.
         """
         follower = self._followers_by_link[link]
         relay = addresses.NO_ADDRESS
         if is_leading:
             relay = self._select_relay(link, now)
-        known = follower.request.known
-        if relay != addresses.NO_ADDRESS and follower.has_just_started:
-            known = ()
-        instances = (
-            self.instances(now) if is_leading else self._leader_instances
-        )
-        new_instances = (
-            instances if instances != follower.sent_instances else ()
-        )
-        follower.sent_instances = instances
+        if relay != addresses.NO_ADDRESS and follower.is_new:
+            follower.sent_count += 1
+            return messages.Update(
+                number=follower.request.number,
+                kinds=(),
+                instances=(),
+                relay=relay,
+            )
         update = messages.Update(
             number=follower.request.number,
             kinds=updates.relayed_kinds(
-                self._replica, known, follower.requested_at
+                self._replica, follower.request.known, follower.requested_at
             ),
-            instances=new_instances,
+            instances=self._new_instances(follower, is_leading, now),
             relay=relay,
             age=follower.requested_at - complete_at,
         )
@@ -213,6 +211,18 @@
         follower.sent_count += 1
         return update
 
+    def _new_instances(
+        self, follower: Follower, is_leading: bool, now: ids.Instant
+    ) -> tuple[ids.InstanceId, ...]:
+        """Return the live instances if they differ from those sent."""
+        instances = (
+            self.instances(now) if is_leading else self._leader_instances
+        )
+        if instances == follower.sent_instances:
+            return ()
+        follower.sent_instances = instances
+        return instances
+
     def record_unsent(self, link: Link, update: messages.Update) -> None:
         """Record that an update was not sent, so that it is sent again."""
         follower = self._followers_by_link.get(link)
--- a/dragonflyshelf/runtime/gateway/control.py
+++ b/dragonflyshelf/runtime/gateway/control.py
@@ -537,7 +537,11 @@
             message.update, self.now
         ):
             self._apply(event, diagnostics.Source.UPDATE)
-        if self._relay_coordinator.source_address != former_address:
+        is_redirect = not message.update.kinds
+        if (
+            is_redirect
+            or self._relay_coordinator.source_address != former_address
+        ):
             self._next_request_at = self.now
         if message.update.instances:
             self._instances = message.update.instances
--- a/tests/core/relay/test_relay.py
+++ b/tests/core/relay/test_relay.py
@@ -341,6 +341,31 @@
         )
         assert collection.next_update("i3", True, at(2.4)).kinds
 
+    def test_takeover_among_many(self) -> None:
+        """A new leader of 195 instances sends objects to its relays alone.
+
+        What 195 followers got at once filled a link of 6 Mbit/s for longer
+        than a lease, so that no leader could renew its lease.
+        """
+        leader = replica.Replica()
+        leader.apply_list(objects.list_event(5, 1.0, objects.stored("a", 4)))
+        collection = followers.Followers(OWN_SETTINGS, leader)
+        names = [f"i{number}" for number in range(2, 196)]
+        for index, name in enumerate(names):
+            data_centre = ids.DataCentreId("abcde"[index % 5])
+            collection.record_request(
+                name,
+                make_request(7, 3, name, data_centre=data_centre),
+                at(2.0),
+            )
+        sent_updates = [
+            collection.next_update(name, True, at(2.0)) for name in names
+        ]
+        served_count = sum(
+            bool(update.kinds or update.instances) for update in sent_updates
+        )
+        assert served_count == 5
+
     def test_own_data_centre(self) -> None:
         """Followers in the leader's data centre are not redirected."""
         collection = self.make_followers()
