Keep the relay under a new leader, and tell it of the lease

What the store refused, and what followed it, never learned of the new leader.

Change: members keep their relay if it shows the new lease within 0.8 s. A request names the lease if its sender knows a newer one than the recipient has shown; a source that is left is told too. So an instance that the store refuses follows the leader whom its members have read of. The field is new at the end of the frame; older builds ignore it.

--- a/dragonflyshelf/codec/relay.capnp
+++ b/dragonflyshelf/codec/relay.capnp
@@ -56,6 +56,7 @@
   acceptsCompressed @8 :Bool;
   receivedCount @9 :Int64 = -1;
   acceptsDeltas @10 :Bool;
+  news @11 :List(Change);
 }
 
 struct Change {
--- a/dragonflyshelf/core/relay/messages.py
+++ b/dragonflyshelf/core/relay/messages.py
@@ -38,7 +38,8 @@
     since the last report, include those of the members. ``received_count``
     is the number of updates received on the connection of the request. An
     instance of an older build does not set it, ``accepts_compressed`` or
-    ``accepts_deltas``.
+    ``accepts_deltas``. ``news`` has the lease if the follower knows a newer
+    one than the recipient has shown.
     """
 
     instance: ids.InstanceId
@@ -52,6 +53,7 @@
     accepts_compressed: bool = False
     received_count: int = NOT_COUNTED
     accepts_deltas: bool = False
+    news: "tuple[RelayedChange, ...]" = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/dragonflyshelf/core/relay/relay_selector.py
+++ b/dragonflyshelf/core/relay/relay_selector.py
@@ -26,6 +26,11 @@
 RELAY_TIMEOUT_SECONDS: Final = 0.7
 """Seconds without an update after which a relay is dropped."""
 
+RELAY_HANDOVER_SECONDS: Final = 0.8
+"""Seconds in which a relay must show that it follows a new leader."""
+
+NEVER: Final = ids.Instant(float("inf"))
+
 
 class RelaySelector:
     """Selects between the leader and the relay that it assigned."""
@@ -38,6 +43,8 @@
         self._relay_address: addresses.Address | None = None
         self._updated_at = ids.Instant(0.0)
         self._has_relay_update = False
+        self._handover_until = NEVER
+        self._lease_revision = ids.Revision(0)
         self._avoid_until_by_address: dict[addresses.Address, ids.Instant] = {}
 
     @property
@@ -50,18 +57,41 @@
         """Return whether updates are requested from a relay."""
         return self._relay_address is not None
 
-    def update_lease(self, lease: grantor.Lease) -> None:
-        """Apply the lease; a new leader invalidates the relay."""
+    def update_lease(
+        self, lease: grantor.Lease, revision: ids.Revision, now: ids.Instant
+    ) -> None:
+        """Apply the lease, whose object has a revision in the store.
+
+        The relay is kept when the leader changes, unless it does not show
+        soon that it follows the new one; so not all instances come to a new
+        leader at once.
+        """
         leader_address = None
         if lease.holder and lease.holder != self._own_id:
             leader_address = lease.address
-        if (
+        is_new_leader = (
             leader_address != self._leader_address
             or lease.holder != self._leader_id
-        ):
-            self._relay_address = None
+        )
         self._leader_id = lease.holder
         self._leader_address = leader_address
+        if is_new_leader and self._relay_address is not None:
+            self._lease_revision = revision
+            self._handover_until = ids.Instant(now + RELAY_HANDOVER_SECONDS)
+        if lease.holder == self._own_id or (
+            leader_address == self._relay_address
+        ):
+            self._set_relay(None)
+
+    def _set_relay(self, relay: addresses.Address | None) -> None:
+        self._relay_address = relay
+        self._has_relay_update = False
+        self._handover_until = NEVER
+
+    def record_known(self, revision: ids.Revision) -> None:
+        """Record the revision of the control objects in an update."""
+        if revision >= self._lease_revision:
+            self._handover_until = NEVER
 
     def record_update(
         self, relay: addresses.Address, now: ids.Instant
@@ -72,25 +102,32 @@
             self._has_relay_update = self.uses_relay
             return
         if now >= self._avoid_until_by_address.get(relay, now):
-            self._relay_address = relay
-            self._has_relay_update = False
+            self._set_relay(relay)
 
     def should_drop_relay(self, age: float, now: ids.Instant) -> bool:
         """Return whether the relay is silent or its data is outdated.
 
-        ``age`` is that of the configuration. What an instance had before
-        the relay's first update is not the relay's data.
+        So is that of a relay which does not follow a new leader. ``age`` is
+        that of the configuration. What an instance had before the relay's
+        first update is not the relay's data.
         """
         if self._relay_address is None:
             return False
         if now - self._updated_at > RELAY_TIMEOUT_SECONDS:
             return True
+        if now > self._handover_until:
+            return True
         return self._has_relay_update and age > MAX_CONFIGURATION_AGE_SECONDS
 
     def drop_relay(self, now: ids.Instant) -> None:
-        """Drop the relay and revert to the leader."""
+        """Drop the relay and revert to the leader.
+
+        One that only did not follow a new leader is not avoided: that
+        leader assigns it again once it does.
+        """
         if self._relay_address is None:
             return
-        until = ids.Instant(now + RELAY_AVOIDANCE_SECONDS)
-        self._avoid_until_by_address[self._relay_address] = until
-        self._relay_address = None
+        if now <= self._handover_until:
+            until = ids.Instant(now + RELAY_AVOIDANCE_SECONDS)
+            self._avoid_until_by_address[self._relay_address] = until
+        self._set_relay(None)
--- a/dragonflyshelf/runtime/gateway/control.py
+++ b/dragonflyshelf/runtime/gateway/control.py
@@ -12,6 +12,7 @@
 from absl import logging
 
 from dragonflyshelf.codec import control
+from dragonflyshelf.core import errors
 from dragonflyshelf.core.grantor import const as grantor_const
 from dragonflyshelf.core.grantor import coordinator as grantor_coordinator
 from dragonflyshelf.core.grantor import messages as grantor
@@ -297,7 +298,9 @@
                 self._source_by_kind[Kind.CONTROL],
                 self._age(Kind.CONTROL),
             )
-            if self._relay_coordinator.update_lease(value):
+            if self._relay_coordinator.update_lease(
+                value, change.revision, self.now
+            ):
                 self._next_request_at = self.now
 
     @PUBLISHERS.register(Kind.CONFIGURATION)
@@ -587,6 +590,8 @@
     def _on_update_request_received(
         self, message: relay_messages.UpdateRequestReceived
     ) -> None:
+        for change in message.request.news:
+            self._apply_news(change)
         self._relay_coordinator.handle_request(
             message, self.is_leading, self.now
         )
@@ -594,6 +599,22 @@
             self._report_loads(message.request.instance, message.request.loads)
             self._service_times.add(message.request.paces, self.now)
 
+    def _apply_news(self, change: relay.RelayedChange) -> None:
+        """Apply the lease that a follower has read in the store.
+
+        This instance may not reach the store, or follow a former leader.
+        """
+        if change.name != LEASE_OBJECT_NAME or not _is_lease(change.spec):
+            return
+        stored = store.StoredObject(
+            kind=Kind.CONTROL,
+            name=change.name,
+            revision=change.revision,
+            spec=change.spec,
+        )
+        self._source_by_kind[Kind.CONTROL] = diagnostics.Source.FOLLOWER
+        self._publish_changes(Kind.CONTROL, self._replica.apply_object(stored))
+
     def _report_loads(
         self, instance: ids.InstanceId, loads: tuple[grantor.RangeLoad, ...]
     ) -> None:
@@ -643,6 +664,14 @@
         self._publish_instances(instances)
 
 
+def _is_lease(spec: bytes) -> bool:
+    """Return whether an encoded control object is a valid lease."""
+    try:
+        return isinstance(control.decode(spec), grantor_objects.Lease)
+    except errors.InvalidObject:
+        return False
+
+
 def _to_stored_object(observed: grantor.ControlObserved) -> store.StoredObject:
     """Return a control object as the replica stores it."""
     return store.StoredObject(
--- a/dragonflyshelf/runtime/gateway/diagnostics.py
+++ b/dragonflyshelf/runtime/gateway/diagnostics.py
@@ -46,6 +46,7 @@
 class Source(enum.Enum):
     """From where an instance received a change."""
 
+    FOLLOWER = "follower"
     STORE = "store"
     UPDATE = "update"
 
--- a/dragonflyshelf/runtime/gateway/relay_coordinator.py
+++ b/dragonflyshelf/runtime/gateway/relay_coordinator.py
@@ -5,11 +5,13 @@
 """
 
 from collections import abc
+import dataclasses
 from typing import Final
 
 from absl import logging
 
 from dragonflyshelf.core import addresses
+from dragonflyshelf.core.grantor import const
 from dragonflyshelf.core.grantor import messages as grantor
 from dragonflyshelf.core.grantor import objects as grantor_objects
 from dragonflyshelf.core import ids
@@ -28,6 +30,8 @@
 from dragonflyshelf.runtime import inbox
 from dragonflyshelf.runtime.relay import messages
 
+LEASE_NAME: Final = ids.ObjectName(const.LEASE_NAME)
+
 _LOGGER = logging.get_absl_logger()
 
 MAX_TRACKED_REQUEST_COUNT: Final = 32
@@ -56,6 +60,8 @@
         self._token_pool = pool.TokenPool()
         self._relay_selector = relay_selector.RelaySelector(own_lease.holder)
         self._request_number = 0
+        self._posted_address: addresses.Address | None = None
+        self._shown_revision = ids.Revision(0)
         self._requested_at_by_number: dict[int, ids.Instant] = {}
         self._service_time_tally = service_times.ServiceTimeTally()
         self.allocator = allocator.TokenAllocator()
@@ -64,18 +70,30 @@
         self.router: inbox.Inbox | None = None
         self.client: inbox.Inbox | None = None
 
-    def update_lease(self, lease: grantor_objects.Lease) -> bool:
+    def update_lease(
+        self,
+        lease: grantor_objects.Lease,
+        revision: ids.Revision,
+        now: ids.Instant,
+    ) -> bool:
         """Apply the lease and set the update source.
 
-        Return whether the update source has changed.
+        Return whether the update source has changed. The former source is
+        told the lease, as it may not reach the store.
         """
         former_address = self._relay_selector.address
-        self._relay_selector.update_lease(lease)
+        self._relay_selector.update_lease(lease, revision, now)
+        is_changed = self._relay_selector.address != former_address
+        if is_changed and former_address is not None:
+            self._post_to_client(self._make_request(now))
         self._post_update_source()
-        return self._relay_selector.address != former_address
+        return is_changed
 
     def _post_update_source(self) -> None:
         address = self._relay_selector.address
+        if address != self._posted_address:
+            self._posted_address = address
+            self._shown_revision = ids.Revision(0)
         self._post_to_client(messages.SetUpdateSource(address=address))
 
     def _post_to_client(
@@ -131,34 +149,58 @@
         ``loads`` and ``service_time_sums`` are empty if no report is due.
         """
         self._service_time_tally.add(service_time_sums)
-        self._request_number += 1
-        self._requested_at_by_number[self._request_number] = now
-        self._requested_at_by_number.pop(
-            self._request_number - MAX_TRACKED_REQUEST_COUNT, None
-        )
         if loads:
             loads = self.followers.aggregate_loads(loads, now)
         self._post_to_client(
-            relay.UpdateRequest(
-                instance=self._own_lease.holder,
-                data_centre=self._data_centre,
-                address=self._own_lease.address,
-                number=self._request_number,
-                known=tuple(
-                    relay.KnownRevision(
-                        kind=kind,
-                        revision=self._replica.by_kind(kind).revision,
-                    )
-                    for kind in store.ObjectKind
-                ),
+            dataclasses.replace(
+                self._make_request(now),
                 loads=loads,
-                members=self.followers.members(now),
                 paces=self._service_time_tally.take_report(),
-                accepts_compressed=True,
-                accepts_deltas=True,
             )
         )
 
+    def _make_request(self, now: ids.Instant) -> relay.UpdateRequest:
+        """Return the next update request, without measurements."""
+        self._request_number += 1
+        self._requested_at_by_number[self._request_number] = now
+        self._requested_at_by_number.pop(
+            self._request_number - MAX_TRACKED_REQUEST_COUNT, None
+        )
+        return relay.UpdateRequest(
+            instance=self._own_lease.holder,
+            data_centre=self._data_centre,
+            address=self._own_lease.address,
+            number=self._request_number,
+            known=tuple(
+                relay.KnownRevision(
+                    kind=kind,
+                    revision=self._replica.by_kind(kind).revision,
+                )
+                for kind in store.ObjectKind
+            ),
+            loads=(),
+            members=self.followers.members(now),
+            accepts_compressed=True,
+            accepts_deltas=True,
+            news=self._news_for_source(),
+        )
+
+    def _news_for_source(self) -> tuple[relay.RelayedChange, ...]:
+        """Return the lease if the update source has not shown it."""
+        stored = self._replica.by_kind(
+            store.ObjectKind.CONTROL
+        ).objects_by_name.get(LEASE_NAME)
+        if stored is None or stored.revision <= self._shown_revision:
+            return ()
+        return (
+            relay.RelayedChange(
+                name=stored.name,
+                revision=stored.revision,
+                removed=False,
+                spec=stored.spec,
+            ),
+        )
+
     def apply_update(
         self, update: relay.Update, now: ids.Instant
     ) -> abc.Iterator[store.KindListed | store.KindChanged]:
@@ -174,9 +216,16 @@
         if update.instances:
             self.followers.set_leader_instances(update.instances)
         for relayed_kind in update.kinds:
+            if relayed_kind.kind is store.ObjectKind.CONTROL:
+                self._record_shown(relayed_kind.revision)
             yield updates.to_event(relayed_kind, requested_at)
         self.completeness.record_update(update, requested_at)
 
+    def _record_shown(self, revision: ids.Revision) -> None:
+        """Record which control objects the update source has."""
+        self._shown_revision = revision
+        self._relay_selector.record_known(revision)
+
     def handle_request(
         self,
         message: messages.UpdateRequestReceived,
--- a/dragonflyshelf/runtime/relay/client.py
+++ b/dragonflyshelf/runtime/relay/client.py
@@ -64,7 +64,7 @@
         if message.address == self._address:
             return
         self._address = message.address
-        self._close_connection()
+        self._close_connection(is_flushed=True)
 
     @task.handles(relay.UpdateRequest)
     def _on_update_request(self, message: relay.UpdateRequest) -> None:
@@ -176,13 +176,17 @@
         """Close the connection."""
         self._close_connection()
 
-    def _close_connection(self) -> None:
+    def _close_connection(self, is_flushed: bool = False) -> None:
+        """Close the connection, after what was written if ``is_flushed``."""
         self._pending_requests.clear()
         if self._connect_task is not None:
             self._connect_task.cancel()
             self._connect_task = None
         if self._transport is not None:
-            self._transport.abort()
+            if is_flushed:
+                self._transport.close()
+            else:
+                self._transport.abort()
             self._transport = None
 
     def _connect(self) -> None:
--- a/tests/runtime/gateway/test_control.py
+++ b/tests/runtime/gateway/test_control.py
@@ -3,9 +3,13 @@
 import asyncio
 from collections import abc
 import contextlib
+import dataclasses
 
 import msgspec
+import pytest
 
+from dragonflyshelf.codec import control as control_codec
+from dragonflyshelf.core import addresses
 from dragonflyshelf.core.grantor import objects as grantor
 from dragonflyshelf.core import ids
 from dragonflyshelf.core.relay import messages as relay
@@ -155,3 +159,61 @@
                 assert taken_versions(messages) == [1, 2, 3]
 
         asyncio.run(async_check())
+
+
+class TestLeaseFromAFollower:
+    """An instance that the store refused kept to a former leader."""
+
+    def make_lease_change(
+        self, holder: str, spec: bytes = b""
+    ) -> relay.RelayedChange:
+        """Return the lease of a leader, or an object with a spec."""
+        lease = grantor.Lease(
+            holder=ids.InstanceId(holder),
+            incarnation=ids.Incarnation(4),
+            host="127.0.0.9",
+            port=7100,
+            count=3,
+        )
+        return relay.RelayedChange(
+            name=ids.ObjectName("lease"),
+            revision=ids.Revision(8),
+            removed=False,
+            spec=spec or control_codec.encode(lease),
+        )
+
+    async def async_find_sources(
+        self, change: relay.RelayedChange
+    ) -> list[addresses.Address | None]:
+        """Return the update sources after a follower's request."""
+        async with async_run_control() as task:
+            assert task.task_inboxes is not None
+            task.start_ticking()
+            request = dataclasses.replace(
+                test_relay.make_request(1, 0), news=(change,)
+            )
+            task.inbox.post(
+                relay_messages.UpdateRequestReceived(
+                    request=request, reply_to=inbox.Inbox("follower")
+                )
+            )
+            while task.inbox:
+                await asyncio.sleep(0)
+            return [
+                message.address
+                for message in take_messages(task.task_inboxes.relay)
+                if isinstance(message, relay_messages.SetUpdateSource)
+            ]
+
+    def test_newer_lease(self) -> None:
+        """Its leader is followed, though the store was not read."""
+        sources = asyncio.run(
+            self.async_find_sources(self.make_lease_change("i7"))
+        )
+        assert sources[-1] == addresses.Address(host="127.0.0.9", port=7100)
+
+    @pytest.mark.parametrize("spec", [b"7", b"{}", b"[" * 3000, b"\xff"])
+    def test_invalid_lease(self, spec: bytes) -> None:
+        """It is ignored."""
+        change = self.make_lease_change("i7", spec)
+        assert not asyncio.run(self.async_find_sources(change))
