Let a relay hand out the share of its members without a leader

Cause: what was left to an instance was half of a rate divided by 195, less than a token for nearly every workspace, whose requests come to a few instances. The relays, which were up, dropped the requests after 0.5 s.

Change: a relay to which the leader does not respond within 0.12 s hands out the part of the share that is for itself and its members, from one bucket a workspace, and probes the leader. The sum stays the same; the leader sets as much aside for silent instances as before. A former leader that knows no other one stays silent to its followers, so that relays use their own share. A change of the number of instances or of the configuration no longer fills the buckets anew.

--- a/dragonflyshelf/core/quota/const.py
+++ b/dragonflyshelf/core/quota/const.py
@@ -18,6 +18,12 @@
 would accrue to a whole token at every instance.
 """
 
+INSTANCE_MIN_BURST: Final = 1.0
+"""Tokens that can accrue in the fallback share of one instance."""
+
+RELAY_MIN_BURST: Final = 2.0
+"""Tokens that can accrue in the fallback share of a relay."""
+
 INITIAL_BURST_RATIO: Final = 0.3
 """Fraction of the burst in the buckets of a new leader.
 
@@ -36,6 +42,9 @@
 MAX_WAIT_SECONDS: Final = 5.0
 """Upper bound on the wait in a token allocation."""
 
+MAX_FALLBACK_WAIT_SECONDS: Final = 0.5
+"""Upper bound on the wait while the leader, which may be back, is silent."""
+
 MAX_REQUESTED_TOKEN_COUNT: Final = 32
 """Upper bound on the tokens in one token request."""
 
@@ -49,6 +58,12 @@
 prefetch, so that it would never find out that the leader responds again.
 """
 
+RELAY_REQUEST_TIMEOUT_SECONDS: Final = 0.12
+"""Seconds after which the token request of a relay counts as timed out.
+
+It is less than that of its members, so that they hear of the share.
+"""
+
 RELAY_TOKEN_TTL_SECONDS: Final = 0.3
 """Seconds after which unused tokens at a relay are discarded."""
 
--- a/dragonflyshelf/core/quota/limiter.py
+++ b/dragonflyshelf/core/quota/limiter.py
@@ -9,9 +9,9 @@
 import enum
 
 from dragonflyshelf.core import ids
-from dragonflyshelf.core.quota import bucket
 from dragonflyshelf.core.quota import const
 from dragonflyshelf.core.quota import demand
+from dragonflyshelf.core.quota import fallback
 from dragonflyshelf.core.quota import messages
 from dragonflyshelf.core.routing import objects
 
@@ -37,13 +37,11 @@
     tokens: int = 0
     allocated_at: ids.Instant = ids.Instant(0.0)
     requested_at: ids.Instant | None = None
-    fallback_used_at: ids.Instant = ids.Instant(0.0)
     fallback_used_count: int = 0
     exhausted_until: ids.Instant = ids.Instant(0.0)
     demand_estimate: demand.DemandEstimate = dataclasses.field(
         default_factory=demand.DemandEstimate
     )
-    fallback: bucket.TokenBucket | None = None
 
     def expire(self, now: ids.Instant) -> None:
         """Discard tokens that were allocated too long ago."""
@@ -58,7 +56,7 @@
         """Create a limiter without tokens."""
         self._workspaces_by_name: dict[ids.WorkspaceId, objects.Workspace] = {}
         self._caches_by_workspace: dict[ids.WorkspaceId, TokenCache] = {}
-        self._instance_count = const.DEFAULT_INSTANCE_COUNT
+        self._fallback_share = fallback.FallbackShare(const.INSTANCE_MIN_BURST)
         self._leader_is_unresponsive = False
 
     def set_workspaces(
@@ -68,18 +66,14 @@
         self._workspaces_by_name = {
             workspace.name: workspace for workspace in workspaces
         }
+        self._fallback_share.set_workspaces(workspaces)
         for name in list(self._caches_by_workspace):
             if name not in self._workspaces_by_name:
                 del self._caches_by_workspace[name]
-                continue
-            self._caches_by_workspace[name].fallback = None
 
     def set_instance_count(self, count: int) -> None:
         """Set the number of instances that divide the fallback share."""
-        if count != self._instance_count:
-            self._instance_count = max(count, 1)
-            for cache in self._caches_by_workspace.values():
-                cache.fallback = None
+        self._fallback_share.set_instances(1, count)
 
     def take(
         self, workspace: ids.WorkspaceId, now: ids.Instant
@@ -114,7 +108,7 @@
     def _take_fallback(
         self, workspace: ids.WorkspaceId, cache: TokenCache, now: ids.Instant
     ) -> AdmissionResult:
-        if self._fallback_bucket(workspace, cache, now).take(now):
+        if self._fallback_share.take(workspace, now):
             cache.fallback_used_count += 1
             return AdmissionResult.ADMITTED
         return AdmissionResult.OVER_LIMIT
@@ -195,8 +189,8 @@
     ) -> float:
         """Return the seconds until a token may be available."""
         cache = self._cache(workspace)
-        if self._leader_is_unresponsive and cache.fallback is not None:
-            return cache.fallback.seconds_to_token(now)
+        if self._leader_is_unresponsive:
+            return self._fallback_share.seconds_to_token(workspace, now)
         return max(cache.exhausted_until - now, 0.0)
 
     def describe(self, workspace: ids.WorkspaceId) -> str:
@@ -210,19 +204,3 @@
 
     def _cache(self, workspace: ids.WorkspaceId) -> TokenCache:
         return self._caches_by_workspace.setdefault(workspace, TokenCache())
-
-    def _fallback_bucket(
-        self, workspace: ids.WorkspaceId, cache: TokenCache, now: ids.Instant
-    ) -> bucket.TokenBucket:
-        is_idle = now - cache.fallback_used_at > const.FALLBACK_RESET_SECONDS
-        cache.fallback_used_at = now
-        if cache.fallback is None or is_idle:
-            configured = self._workspaces_by_name[workspace]
-            ratio = const.FALLBACK_RATIO / self._instance_count
-            cache.fallback = bucket.TokenBucket(
-                rate=configured.rate * ratio,
-                burst=max(configured.burst * ratio, 1.0),
-                now=now,
-                tokens=configured.burst * ratio,
-            )
-        return cache.fallback
--- a/dragonflyshelf/core/quota/pool.py
+++ b/dragonflyshelf/core/quota/pool.py
@@ -1,5 +1,8 @@
 """Tokens that a relay requests on behalf of its members.
 
+While the leader does not respond, the relay hands out the share of each
+rate that is for itself and its members.
+
 The relay has one token request under way for each workspace and
 prefetches some tokens, so that most members get tokens at once and few
 requests cross data centres. Unused tokens are discarded after a short
@@ -14,6 +17,7 @@
 from dragonflyshelf.core import ids
 from dragonflyshelf.core.quota import const
 from dragonflyshelf.core.quota import demand
+from dragonflyshelf.core.quota import fallback
 from dragonflyshelf.core.quota import messages
 
 Link = Any
@@ -48,6 +52,7 @@
     allocated_at: ids.Instant = ids.Instant(0.0)
     requested_at: ids.Instant | None = None
     exhausted_until: ids.Instant = ids.Instant(0.0)
+    fallback_used_count: int = 0
     pending: collections.deque[PendingRequest] = dataclasses.field(
         default_factory=collections.deque
     )
@@ -61,6 +66,8 @@
         self._caches_by_workspace: collections.defaultdict[
             ids.WorkspaceId, RelayTokenCache
         ] = collections.defaultdict(RelayTokenCache)
+        self._leader_is_unresponsive = False
+        self.fallback_share = fallback.FallbackShare(const.RELAY_MIN_BURST)
 
     def request_tokens(
         self, link: Link, request: messages.TokenRequest, now: ids.Instant
@@ -91,6 +98,8 @@
         prefetch_count = (
             cache.demand_estimate.prefetch_count(now) if may_prefetch else 0
         )
+        if self._leader_is_unresponsive:
+            prefetch_count = max(prefetch_count, const.PROBE_TOKEN_COUNT)
         if not pending_tokens and cache.tokens * 2 >= prefetch_count:
             return None
         cache.requested_at = now
@@ -107,15 +116,27 @@
     ) -> abc.Iterator[Reply]:
         """Add tokens allocated by the leader; yield the replies now due."""
         cache = self._caches_by_workspace[allocation.workspace]
+        self._leader_is_unresponsive = False
         cache.requested_at = None
         self._expire(cache, now)
-        cache.tokens += allocation.tokens
+        cache.tokens += max(allocation.tokens - cache.fallback_used_count, 0)
+        cache.fallback_used_count = 0
         if allocation.tokens:
             cache.allocated_at = now
         else:
             cache.exhausted_until = ids.Instant(now + allocation.wait)
         yield from self._reply(allocation.workspace, cache, now)
 
+    def resolve_overdue(self, now: ids.Instant) -> abc.Iterator[Reply]:
+        """Yield replies to members whose tokens the leader does not send."""
+        for workspace, cache in self._caches_by_workspace.items():
+            if cache.requested_at is None or not cache.pending:
+                continue
+            waited = now - cache.requested_at
+            if waited >= const.RELAY_REQUEST_TIMEOUT_SECONDS:
+                self._leader_is_unresponsive = True
+                yield from self._reply(workspace, cache, now)
+
     def _reply(
         self,
         workspace: ids.WorkspaceId,
@@ -124,12 +145,17 @@
     ) -> abc.Iterator[Reply]:
         self._expire(cache, now)
         while cache.pending:
-            if not cache.tokens and now >= cache.exhausted_until:
-                return
+            is_exhausted = now < cache.exhausted_until
+            if not cache.tokens and not is_exhausted:
+                if not self._leader_is_unresponsive:
+                    return
+                self._take_fallback(workspace, cache, now)
             oldest = cache.pending.popleft()
             allocated = min(oldest.tokens, cache.tokens)
             cache.tokens -= allocated
-            wait = 0.0 if allocated else cache.exhausted_until - now
+            wait = 0.0
+            if not allocated:
+                wait = self._seconds_to_token(workspace, cache, now)
             yield Reply(
                 link=oldest.link,
                 allocation=messages.TokenAllocation(
@@ -137,6 +163,33 @@
                 ),
             )
 
+    def _take_fallback(
+        self,
+        workspace: ids.WorkspaceId,
+        cache: RelayTokenCache,
+        now: ids.Instant,
+    ) -> None:
+        """Add tokens of the share for the oldest request."""
+        while cache.tokens < cache.pending[0].tokens:
+            if not self.fallback_share.take(workspace, now):
+                return
+            cache.tokens += 1
+            cache.allocated_at = now
+            cache.fallback_used_count += 1
+
+    def _seconds_to_token(
+        self,
+        workspace: ids.WorkspaceId,
+        cache: RelayTokenCache,
+        now: ids.Instant,
+    ) -> float:
+        if now < cache.exhausted_until:
+            return cache.exhausted_until - now
+        wait = self.fallback_share.seconds_to_token(workspace, now)
+        return min(
+            max(wait, const.MIN_WAIT_SECONDS), const.MAX_FALLBACK_WAIT_SECONDS
+        )
+
     def _expire(self, cache: RelayTokenCache, now: ids.Instant) -> None:
         if now - cache.allocated_at > const.RELAY_TOKEN_TTL_SECONDS:
             cache.tokens = 0
--- a/dragonflyshelf/core/relay/followers.py
+++ b/dragonflyshelf/core/relay/followers.py
@@ -8,6 +8,7 @@
 from dragonflyshelf.core import addresses
 from dragonflyshelf.core.grantor import messages as grantor
 from dragonflyshelf.core import ids
+from dragonflyshelf.core.quota import const
 from dragonflyshelf.core.relay import messages
 from dragonflyshelf.core.relay import updates
 from dragonflyshelf.core import settings
@@ -90,6 +91,11 @@
         """Store the instances that the leader considers alive."""
         self._leader_instances = instances
 
+    @property
+    def instance_count(self) -> int:
+        """Return the number of live instances, a default if unknown."""
+        return len(self._leader_instances) or const.DEFAULT_INSTANCE_COUNT
+
     def record_request(
         self, link: Link, request: messages.UpdateRequest, now: ids.Instant
     ) -> None:
--- a/dragonflyshelf/runtime/gateway/control.py
+++ b/dragonflyshelf/runtime/gateway/control.py
@@ -171,6 +171,7 @@
         self._record_lateness()
         self._handle_event(grantor.TimePassed())
         self._relay_coordinator.check_relay(self.configuration_age, self.now)
+        self._relay_coordinator.resolve_overdue_tokens(self.now)
         self._update_watches()
         self._request_updates_if_due()
         if self.is_leading:
@@ -320,8 +321,9 @@
                 scheduling.ConfigurationChanged(configuration=configuration)
             )
             self._publish_request_limits(configuration.limits)
-            allocator = self._relay_coordinator.allocator
-            allocator.set_workspaces(configuration.workspaces, self.now)
+            self._relay_coordinator.set_workspaces(
+                configuration.workspaces, self.now
+            )
             self._handle_event(
                 grantor.ServicesChanged(services=configuration.services)
             )
--- a/dragonflyshelf/runtime/gateway/relay_coordinator.py
+++ b/dragonflyshelf/runtime/gateway/relay_coordinator.py
@@ -23,6 +23,7 @@
 from dragonflyshelf.core.relay import messages as relay
 from dragonflyshelf.core.relay import relay_selector
 from dragonflyshelf.core.relay import updates
+from dragonflyshelf.core.routing import objects as routing
 from dragonflyshelf.core import settings
 from dragonflyshelf.core.store import messages as store
 from dragonflyshelf.core.store import replica
@@ -263,7 +264,13 @@
         is_leading: bool,
         now: ids.Instant,
     ) -> None:
-        """Allocate tokens as the leader, or request them from it."""
+        """Allocate tokens as the leader, or request them from it.
+
+        A former leader that knows no other one has no tokens for others.
+        """
+        is_detached = not is_leading and self.source_address is None
+        if is_detached and link is not self.router:
+            return
         for request in requests:
             if is_leading:
                 self._send_allocation(
@@ -274,6 +281,24 @@
                 self._send_allocation(reply.link, reply.allocation)
             self._request_tokens_if_due(request.workspace, now)
 
+    def resolve_overdue_tokens(self, now: ids.Instant) -> None:
+        """Hand out the fallback share if the leader does not respond."""
+        member_count = 0
+        if self.source_address is not None:
+            member_count = len(self.followers.members(now))
+        self._token_pool.fallback_share.set_instances(
+            1 + member_count, self.followers.instance_count
+        )
+        for reply in self._token_pool.resolve_overdue(now):
+            self._send_allocation(reply.link, reply.allocation)
+
+    def set_workspaces(
+        self, workspaces: tuple[routing.Workspace, ...], now: ids.Instant
+    ) -> None:
+        """Apply the rates and bursts of a new configuration."""
+        self.allocator.set_workspaces(workspaces, now)
+        self._token_pool.fallback_share.set_workspaces(workspaces)
+
     def handle_allocations(
         self, message: relay.TokenAllocations, now: ids.Instant
     ) -> None:
--- a/tests/core/quota/test_limits.py
+++ b/tests/core/quota/test_limits.py
@@ -332,6 +332,119 @@
         )
 
 
+class RelayCluster:
+    """Relays with members, of which a leader serves some."""
+
+    def __init__(self, rate: float) -> None:
+        """Create five relays with 39 instances each."""
+        self.now = ids.Instant(10.0)
+        self.allocator = allocator.TokenAllocator()
+        self.allocator.set_workspaces((workspace(rate),), self.now)
+        self.relays = [pool.TokenPool() for _ in range(5)]
+        self.limiters = [
+            [limiter.WorkspaceLimiter() for _ in range(39)]
+            for _ in self.relays
+        ]
+        for relay, members in zip(self.relays, self.limiters):
+            relay.fallback_share.set_workspaces((workspace(rate),))
+            relay.fallback_share.set_instances(39, 195)
+            for member in members:
+                member.set_workspaces((workspace(rate),))
+                member.set_instance_count(195)
+        self.served_relays = {0, 1, 2, 3, 4}
+        self.admitted: list[float] = []
+        self.refused: list[float] = []
+
+    def send(self, relay_number: int, member_number: int) -> None:
+        """Send a request; the relay responds within its timeout."""
+        member = self.limiters[relay_number][member_number]
+        result = member.take(WORKSPACE, self.now)
+        pending_count = int(result is limiter.AdmissionResult.PENDING)
+        request = member.next_request(WORKSPACE, pending_count, self.now)
+        if request is not None:
+            for allocation in self.ask(relay_number, request):
+                member.add_allocation(allocation, self.now)
+        is_admitted = result is limiter.AdmissionResult.ADMITTED
+        if pending_count:
+            is_admitted = member.take_deferred(WORKSPACE, self.now)
+        (self.admitted if is_admitted else self.refused).append(self.now)
+
+    def ask(
+        self, relay_number: int, request: messages.TokenRequest
+    ) -> list[messages.TokenAllocation]:
+        """Return what the relay sends to a member within its timeout."""
+        relay = self.relays[relay_number]
+        replies = list(relay.request_tokens("link", request, self.now))
+        upward = relay.next_request(WORKSPACE, True, self.now)
+        if upward is not None and relay_number in self.served_relays:
+            replies += relay.add_allocation(
+                self.allocator.allocate(upward, self.now), self.now
+            )
+        timeout = const.RELAY_REQUEST_TIMEOUT_SECONDS
+        replies += relay.resolve_overdue(ids.Instant(self.now + timeout))
+        return [reply.allocation for reply in replies]
+
+    def run(self, seconds: float, demand: float, rng: random.Random) -> None:
+        """Send requests at a rate to random instances."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now = ids.Instant(self.now + rng.expovariate(demand))
+            self.send(rng.randrange(5), rng.randrange(39))
+
+    def served_share(self, since: float) -> float:
+        """Return the share of the requests that were admitted."""
+        admitted = sum(instant >= since for instant in self.admitted)
+        refused = sum(instant >= since for instant in self.refused)
+        return admitted / (admitted + refused)
+
+
+class TestRelaysWithoutALeader:
+    """Nothing was served at 195 instances while no leader responded.
+
+    The share of one instance was a 390th of a rate, less than a token.
+    """
+
+    @pytest.mark.parametrize("seed", range(5))
+    def test_no_leader(self, seed: int) -> None:
+        """A workspace at half of its rate is mostly served."""
+        cluster = RelayCluster(rate=8.7)
+        cluster.served_relays = set()
+        cluster.run(40.0, 8.7 / 2, random.Random(seed))
+        assert cluster.served_share(12.0) >= 0.5
+
+    @pytest.mark.parametrize("seed", range(5))
+    @pytest.mark.parametrize("rate", [8.7, 100.0])
+    def test_limit(self, seed: int, rate: float) -> None:
+        """The rate holds while the leader comes, goes and serves some."""
+        rng = random.Random(seed)
+        cluster = RelayCluster(rate)
+        for _ in range(12):
+            cluster.served_relays = {
+                number for number in range(5) if rng.random() < 0.5
+            }
+            silent_count = 39 * (5 - len(cluster.served_relays))
+            cluster.run(1.0, rate * 3, rng)
+            cluster.allocator.reserve_fallback(silent_count, 195, cluster.now)
+        bound = (rate * 5 + rate) * 1.1 + 20
+        window_counts = [
+            sum(start <= other < start + 5 for other in cluster.admitted)
+            for start in cluster.admitted
+        ]
+        assert max(window_counts) <= bound
+
+    @pytest.mark.parametrize("seed", range(5))
+    def test_leader_that_is_back(self, seed: int) -> None:
+        """All is served a second after a leader responds again."""
+        rng = random.Random(seed)
+        cluster = RelayCluster(rate=8.7)
+        cluster.served_relays = set()
+        cluster.run(10.0, 5.0, rng)
+        cluster.served_relays = {0, 1, 2, 3, 4}
+        back_at = cluster.now
+        cluster.run(30.0, 5.0, rng)
+        assert cluster.served_share(back_at + 1.0) >= 0.99
+
+
 class TestBucket:
     """Tokens accrue at the rate, up to the burst."""
 
