Forward a server error whose request is not retried after all

Change: the connection keeps the parts of a withheld server error, within the limits of what it reads, and the router forwards them if the request is refused in the end, also when a retry failed or ran out of time.

Result: test_server_error_that_is_not_retried got 502 before, now the upstream's 500 with its signature and body.

--- a/dragonflyshelf/runtime/callers/connection.py
+++ b/dragonflyshelf/runtime/callers/connection.py
@@ -423,7 +423,9 @@
             self._read_ahead_bytes > self._config.head_bytes
         )
 
-    def _on_response_part(self, message: exchange.ResponsePart) -> None:
+    def _on_response_part(
+        self, message: runtime_messages.ResponsePart
+    ) -> None:
         caller_exchange = self._find_exchange(message.exchange)
         if caller_exchange is None:
             return
@@ -433,7 +435,7 @@
         self._forward_response(caller_exchange, message)
 
     def _forward_response(
-        self, caller_exchange: Exchange, message: exchange.ResponsePart
+        self, caller_exchange: Exchange, message: runtime_messages.ResponsePart
     ) -> None:
         if isinstance(message, messages.ResponseHead):
             self._write_response_head(caller_exchange, message)
--- a/dragonflyshelf/runtime/callers/exchange.py
+++ b/dragonflyshelf/runtime/callers/exchange.py
@@ -10,10 +10,8 @@
 from dragonflyshelf.core import settings
 from dragonflyshelf.core import states
 from dragonflyshelf.runtime import inbox
+from dragonflyshelf.runtime import messages as runtime_messages
 
-ResponsePart = (
-    messages.ResponseHead | messages.ResponseChunk | messages.ResponseEnd
-)
 SAFE_METHODS = frozenset({b"GET", b"HEAD", b"OPTIONS"})
 """Methods of requests that may be routed before earlier ones finish."""
 
@@ -40,7 +38,7 @@
     head: messages.RequestHead | None = None
     target: inbox.Inbox | None = None
     buffered_chunks: list[bytes] = dataclasses.field(default_factory=list)
-    deferred_parts: list[ResponsePart] = dataclasses.field(
+    deferred_parts: list[runtime_messages.ResponsePart] = dataclasses.field(
         default_factory=list
     )
     deferred_refusal: errors.RouterError | None = None
--- a/dragonflyshelf/runtime/gateway/router.py
+++ b/dragonflyshelf/runtime/gateway/router.py
@@ -66,11 +66,14 @@
     """Request of an exchange, and the inboxes of its origin and target.
 
     ``target`` is None before the first attempt and after a refusal.
+    ``withheld_response`` is the last server error that its origin has not
+    got, as the request was to be retried.
     """
 
     head: messages.RequestHead
     origin: inbox.Inbox
     target: inbox.Inbox | None = None
+    withheld_response: tuple[runtime_messages.ResponsePart, ...] = ()
 
 
 class RouterTask(task.Task):
@@ -121,6 +124,9 @@
     ) -> None:
         if message.error is not None:
             self._log_attempt_failure(message, message.error)
+        active_exchange = self._exchanges_by_id.get(message.exchange)
+        if active_exchange is not None and message.withheld_response:
+            active_exchange.withheld_response = message.withheld_response
         self._handle_event(
             scheduling.AttemptFinished(
                 exchange=message.exchange,
@@ -309,6 +315,9 @@
         if active_exchange is None:
             return
         active_exchange.target = None
+        if active_exchange.withheld_response:
+            self._forward_withheld(active_exchange, effect)
+            return
         _LOGGER.info(
             "request refused: %s",
             effect.error.message,
@@ -322,6 +331,23 @@
             )
         )
 
+    def _forward_withheld(
+        self, active_exchange: ActiveExchange, effect: scheduling.Refuse
+    ) -> None:
+        """Forward the server error of a request that is not retried.
+
+        It is the upstream's own response, and was ready before.
+        """
+        _LOGGER.info(
+            "server error forwarded: %s",
+            effect.error.message,
+            extra=logs.error_fields(
+                effect.error, active_exchange.head.request_id
+            ),
+        )
+        for part in active_exchange.withheld_response:
+            active_exchange.origin.post(part)
+
     @EFFECT_HANDLERS.register(scheduling.SendUpstream)
     def _send_upstream(self, effect: scheduling.SendUpstream) -> None:
         active_exchange = self._exchanges_by_id.get(effect.exchange)
--- a/dragonflyshelf/runtime/messages.py
+++ b/dragonflyshelf/runtime/messages.py
@@ -9,6 +9,10 @@
 from dragonflyshelf.core.upstreams import state
 from dragonflyshelf.runtime import inbox
 
+ResponsePart = (
+    messages.ResponseHead | messages.ResponseChunk | messages.ResponseEnd
+)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class RequestReceived:
@@ -51,7 +55,8 @@
 
     ``error`` is None if a complete response was sent to the origin.
     ``response_started`` is true once the head of a response has been sent
-    to the origin.
+    to the origin. ``withheld_response`` is the complete server error that
+    the origin has not got, in the parts in which it would.
     """
 
     exchange: ids.ExchangeId
@@ -61,6 +66,7 @@
     response_started: bool
     status: int = 0
     report: upstreams.LoadReport | None = None
+    withheld_response: tuple[ResponsePart, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/dragonflyshelf/runtime/upstreams/connection.py
+++ b/dragonflyshelf/runtime/upstreams/connection.py
@@ -117,6 +117,7 @@
         self._request_sent = False
         self._response_started = False
         self._withheld: withheld.WithheldResponse | None = None
+        self._is_body_complete = False
         self._informational_count = 0
         self._status = 0
         self._load_report: upstreams.LoadReport | None = None
@@ -309,6 +310,7 @@
         elif isinstance(event, h11.Data):
             self._on_data(attempt, bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
+            self._is_body_complete = True
             self._on_response_end(attempt)
         elif isinstance(event, h11.ConnectionClosed):
             self._fail_with_upstream_error(
@@ -351,23 +353,29 @@
         reason = withheld.find_reason(
             self._header_names, event, attempt.withhold_server_errors
         )
+        head = self._make_response_head(attempt, event)
         if reason is not None:
-            self._withheld = withheld.WithheldResponse(reason, self._status)
+            self._withheld = withheld.WithheldResponse(
+                reason, self._status, head
+            )
             self._withheld_timer = self.post_later(
                 WITHHELD_BODY_SECONDS,
                 WithheldBodyOverdue(exchange=attempt.exchange),
             )
             return
         self._response_started = True
-        attempt.origin.post(
-            messages.ResponseHead(
-                exchange=attempt.exchange,
-                status=event.status_code,
-                reason=bytes(event.reason),
-                headers=http.response_headers(
-                    self._header_names, list(event.headers)
-                ),
-            )
+        attempt.origin.post(head)
+
+    def _make_response_head(
+        self, attempt: runtime_messages.StartAttempt, event: h11.Response
+    ) -> messages.ResponseHead:
+        return messages.ResponseHead(
+            exchange=attempt.exchange,
+            status=event.status_code,
+            reason=bytes(event.reason),
+            headers=http.response_headers(
+                self._header_names, list(event.headers)
+            ),
         )
 
     def _report_notice(
@@ -444,6 +452,7 @@
         """Report the response, whose body has ended or is withheld."""
         error: errors.RouterError | None = None
         result = state.AttemptResult.RESPONDED
+        parts: tuple[runtime_messages.ResponsePart, ...] = ()
         if self._withheld is None:
             attempt.origin.post(
                 messages.ResponseEnd(exchange=attempt.exchange)
@@ -453,7 +462,9 @@
         else:
             result = self._withheld.result
             error = self._withheld.make_error(self._upstream_id)
-        self._report_attempt_end(result, error)
+            if self._is_body_complete:
+                parts = self._withheld.complete_parts()
+        self._report_attempt_end(result, error, parts)
         self._attempt = None
         self._reuse_or_close()
 
@@ -523,6 +534,7 @@
         self,
         result: state.AttemptResult,
         error: errors.RouterError | None,
+        withheld_response: tuple[runtime_messages.ResponsePart, ...] = (),
     ) -> None:
         self._cancel_timers()
         attempt = self._attempt
@@ -536,6 +548,7 @@
                 response_started=self._response_started,
                 status=self._status,
                 report=self._load_report,
+                withheld_response=withheld_response,
             )
         )
 
--- a/dragonflyshelf/runtime/upstreams/withheld.py
+++ b/dragonflyshelf/runtime/upstreams/withheld.py
@@ -8,8 +8,10 @@
 from dragonflyshelf.codec import http
 from dragonflyshelf.core import errors
 from dragonflyshelf.core import ids
+from dragonflyshelf.core import messages
 from dragonflyshelf.core import states
 from dragonflyshelf.core.upstreams import state
+from dragonflyshelf.runtime import messages as runtime_messages
 
 MAX_BODY_BYTES: Final = 64 * 1024
 """Size from which the rest of a body is not read."""
@@ -54,11 +56,21 @@
 
 
 class WithheldResponse:
-    """Response whose body is read, within limits, but not used."""
+    """Response whose body is read, within limits.
 
-    def __init__(self, reason: Reason, status: int) -> None:
+    It is used only if it is a server error and the request is not retried.
+    """
+
+    def __init__(
+        self,
+        reason: Reason,
+        status: int,
+        head: messages.ResponseHead | None = None,
+    ) -> None:
         """Create a response without a body."""
         self._reason = reason
+        self._head = head
+        self._chunks: list[bytes] = []
         self._status = status
         self._body_bytes = 0
         self._chunk_count = 0
@@ -67,6 +79,8 @@
         """Count a chunk of the body."""
         self._body_bytes += len(data)
         self._chunk_count += 1
+        if self._reason is Reason.SERVER_ERROR and not self.is_too_long:
+            self._chunks.append(data)
 
     @property
     def is_too_long(self) -> bool:
@@ -86,6 +100,17 @@
         """Return the outcome of the attempt."""
         return RESULT_BY_REASON[self._reason]
 
+    def complete_parts(self) -> tuple[runtime_messages.ResponsePart, ...]:
+        """Return the parts of a server error whose body has ended."""
+        if self._reason is not Reason.SERVER_ERROR or self._head is None:
+            return ()
+        exchange = self._head.exchange
+        chunks = tuple(
+            messages.ResponseChunk(exchange=exchange, data=data)
+            for data in self._chunks
+        )
+        return (self._head, *chunks, messages.ResponseEnd(exchange=exchange))
+
     def make_error(self, upstream_id: ids.UpstreamId) -> errors.RouterError:
         """Return the error with which the attempt ends."""
         text = f"upstream returned status {self._status}"
--- a/tests/runtime/test_gateway.py
+++ b/tests/runtime/test_gateway.py
@@ -95,6 +95,22 @@
 
         asyncio.run(async_check())
 
+    def test_server_error_that_is_not_retried(self) -> None:
+        """It is forwarded as it came, not replaced by a failure of ours."""
+
+        async def async_check() -> None:
+            async with async_run_ready_deployment() as deployment:
+                for upstream_server in deployment.upstreams:
+                    upstream_server.fault = upstream.Fault.SERVER_ERROR
+                    upstream_server.is_leaving = True
+                response = await deployment.async_call("/read/1")
+                assert response.status == 500
+                headers = dict(response.headers)
+                assert headers[b"response-seal"] == b"seal-r-read/1"
+                assert response.body == b"r-read/1"
+
+        asyncio.run(async_check())
+
     def test_withdrawn_key(self) -> None:
         """All instances refuse a key removed from the configuration."""
 
