--- a/tests/runtime/test_gateway.py
+++ b/tests/runtime/test_gateway.py
@@ -101,8 +101,8 @@
         async def async_check() -> None:
             async with async_run_ready_deployment() as deployment:
                 for upstream_server in deployment.upstreams:
-                    upstream_server.fault = upstream.Fault.SERVER_ERROR
-                    upstream_server.is_leaving = True
+                    upstream_server.fault = upstream.Fault.DECLINE
+                deployment.upstreams[0].fault = upstream.Fault.SERVER_ERROR
                 response = await deployment.async_call("/read/1")
                 assert response.status == 500
                 headers = dict(response.headers)
