--- a/tests/runtime/test_gateway.py
+++ b/tests/runtime/test_gateway.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import abc
 import contextlib
+import typing
 
 from dragonflyshelf.runtime.gateway import server
 from stand_ins import store
@@ -102,7 +103,18 @@
             async with async_run_ready_deployment() as deployment:
                 for upstream_server in deployment.upstreams:
                     upstream_server.fault = upstream.Fault.DECLINE
-                deployment.upstreams[0].fault = upstream.Fault.SERVER_ERROR
+                failing_upstream = deployment.upstreams[0]
+                failing_upstream.fault = upstream.Fault.SERVER_ERROR
+                async_work = failing_upstream._async_work
+
+                async def async_fail_once(*arguments: typing.Any) -> object:
+                    response = await async_work(*arguments)
+                    failing_upstream.fault = upstream.Fault.DECLINE
+                    return response
+
+                failing_upstream._async_work = (  # type: ignore[assignment]
+                    async_fail_once
+                )
                 response = await deployment.async_call("/read/1")
                 assert response.status == 500
                 headers = dict(response.headers)
