Start a traffic split at another place at each instance

Result: 200 instances with 1, 2 and 4 requests each keep weights of 80/20, 70/30 and 50/30/20 within 0.1 in sum; some of these failed before.

--- a/dragonflyshelf/core/scheduling/coordinator.py
+++ b/dragonflyshelf/core/scheduling/coordinator.py
@@ -54,7 +54,7 @@
         self._retry_policy = retries.RetryPolicy(config, self.retry_budget)
         self.shard_loads = loads.ShardLoads()
         self.service_times = service_times.ServiceTimeTally()
-        self._traffic_split = split.WeightedSplit()
+        self._traffic_split = split.WeightedSplit(config.instance.name)
         self.exchanges_by_id: dict[ids.ExchangeId, exchanges.Exchange] = {}
         self._deadline_heap: list[tuple[ids.Instant, ids.ExchangeId]] = []
         self._retry_heap: list[tuple[ids.Instant, ids.ExchangeId]] = []
--- a/tests/core/routing/test_table.py
+++ b/tests/core/routing/test_table.py
@@ -57,31 +57,51 @@
         assert match.priority == 0
 
 
+def make_split_route(*weights: float) -> objects.Route:
+    """Return a route to the services x, y and so on with weights."""
+    return objects.Route(
+        name=ids.RouteName("r"),
+        host="h",
+        path_prefix="/",
+        kind=objects.RequestKind.IDEMPOTENT,
+        timeout=1.0,
+        latency_objective=1.0,
+        priority=0,
+        traffic_split=tuple(
+            objects.WeightedService(
+                service=ids.ServiceName(name), weight=weight
+            )
+            for name, weight in zip("xyz", weights)
+        ),
+        max_attempts=2,
+        is_public=True,
+    )
+
+
 class TestWeightedSplit:
     """Weighted traffic split."""
 
     def test_weights(self) -> None:
         """Weights 90 and 10 give exact, evenly spread shares."""
-        route = objects.Route(
-            name=ids.RouteName("r"),
-            host="h",
-            path_prefix="/",
-            kind=objects.RequestKind.IDEMPOTENT,
-            timeout=1.0,
-            latency_objective=1.0,
-            priority=0,
-            traffic_split=(
-                objects.WeightedService(
-                    service=ids.ServiceName("x"), weight=90
-                ),
-                objects.WeightedService(
-                    service=ids.ServiceName("y"), weight=10
-                ),
-            ),
-            max_attempts=2,
-            is_public=True,
-        )
-        traffic_split = split.WeightedSplit()
+        route = make_split_route(90, 10)
+        traffic_split = split.WeightedSplit(ids.InstanceId("i1"))
         chosen = [traffic_split.choose(route) for _ in range(100)]
         assert collections.Counter(chosen) == {"x": 90, "y": 10}
         assert "y" in chosen[:10]
+
+    @pytest.mark.parametrize("weights", [(80, 20), (70, 30), (0.5, 0.3, 0.2)])
+    @pytest.mark.parametrize("request_count", [1, 2, 4])
+    def test_first_requests_of_many_instances(
+        self, weights: tuple[float, ...], request_count: int
+    ) -> None:
+        """The first requests of all instances went to the same service."""
+        route = make_split_route(*weights)
+        chosen: collections.Counter[ids.ServiceName] = collections.Counter()
+        for number in range(200):
+            traffic_split = split.WeightedSplit(ids.InstanceId(f"i{number}"))
+            chosen.update(
+                traffic_split.choose(route) for _ in range(request_count)
+            )
+        for name, weight in zip("xyz", weights):
+            share = chosen[ids.ServiceName(name)] / chosen.total()
+            assert abs(share - weight / sum(weights)) < 0.1
