Let small instances lead or relay only if no other does

What was seen: at 195 instances 15 have 2.15 cores and 60 Mbit/s, the others 0.43 and 6.

Change: the settings say how large an instance is, the template passes on the platform's figures. A small one waits with a takeover until the others have had their window (1.5 s from 40 instances on); the leader replaces a small relay by any other follower of that data centre, and a replaced relay sends its followers to the one that it follows.

--- a/dragonflyshelf/codec/relay.capnp
+++ b/dragonflyshelf/codec/relay.capnp
@@ -57,6 +57,7 @@
   receivedCount @9 :Int64 = -1;
   acceptsDeltas @10 :Bool;
   news @11 :List(Change);
+  isSmall @12 :Bool;
 }
 
 struct Change {
--- a/dragonflyshelf/core/grantor/const.py
+++ b/dragonflyshelf/core/grantor/const.py
@@ -115,6 +115,12 @@
 TAKEOVER_STAGGER_SECONDS: Final = 0.0375
 """Length per instance of the window over which takeovers are spread."""
 
+MAX_STAGGERED_COUNT: Final = 40
+"""Number of instances from which on the window grows no further.
+
+A few may then attempt a takeover together, of which one succeeds.
+"""
+
 TICK_INTERVAL_SECONDS: Final = 0.1
 """Interval between checks for due renewals of leases and grants."""
 
--- a/dragonflyshelf/core/grantor/lease.py
+++ b/dragonflyshelf/core/grantor/lease.py
@@ -45,6 +45,7 @@
     ) -> None:
         """Create a manager; ``own_lease`` is the lease that it writes."""
         self._config = config.leadership
+        self._is_small = config.instance.is_small
         self._continue_for = config.grants.continue_for
         self._delivery_time = (
             range_grants.MAX_DELIVERY_TIMEOUT_COUNT
@@ -79,13 +80,15 @@
         The delays are spread over a window that grows with the number of
         instances, so that the others observe the lease of the first one
         before they attempt to acquire it. The shortest delay does not
-        grow with that number.
+        grow with that number. Small instances wait until the others have
+        tried.
         """
-        return (
-            const.TAKEOVER_STAGGER_SECONDS
-            * self._stagger_ratio
-            * self._instance_count
-        )
+        count = min(self._instance_count, const.MAX_STAGGERED_COUNT)
+        window = const.TAKEOVER_STAGGER_SECONDS * count
+        if not self._is_small:
+            return window * self._stagger_ratio
+        window_of_all = const.TAKEOVER_STAGGER_SECONDS * self._instance_count
+        return window + window_of_all * self._stagger_ratio
 
     @property
     def _retry_interval(self) -> float:
--- a/dragonflyshelf/core/relay/followers.py
+++ b/dragonflyshelf/core/relay/followers.py
@@ -182,15 +182,18 @@
         is_leading: bool,
         now: ids.Instant,
         complete_at: ids.Instant = replica.DISTANT_PAST,
+        own_relay: addresses.Address = addresses.NO_ADDRESS,
     ) -> messages.Update:
         """Return the changes not yet sent on a link, and mark them as sent.
 
+        A relay that follows another one, ``own_relay``, since the leader
+        has replaced it, sends its followers there.
         ``complete_at`` is up to when this instance knows all changes. A new
         follower is only told its relay at first: all instances come to a
         new leader at once, and its link may be narrow.
         """
         follower = self._followers_by_link[link]
-        relay = addresses.NO_ADDRESS
+        relay = own_relay
         if is_leading:
             relay = self._select_relay(link, now)
         if relay != addresses.NO_ADDRESS and follower.is_new:
@@ -245,8 +248,8 @@
         """Return the relay for a follower.
 
         The first follower of a data centre becomes its relay; it is
-        replaced when it is silent. The leader's own data centre has none
-        if there are few instances.
+        replaced when it is silent, and a small one by any that is not. The
+        leader's own data centre has none if there are few instances.
         """
         request = self._followers_by_link[link].request
         has_few_instances = (
@@ -260,6 +263,7 @@
         if (
             relay_follower is None
             or now - relay_follower.requested_at > FOLLOWER_TIMEOUT_SECONDS
+            or (relay_follower.request.is_small and not request.is_small)
         ):
             self._relay_links_by_data_centre[request.data_centre] = link
             return addresses.NO_ADDRESS
--- a/dragonflyshelf/core/relay/messages.py
+++ b/dragonflyshelf/core/relay/messages.py
@@ -38,7 +38,8 @@
     since the last report, include those of the members. ``received_count``
     is the number of updates received on the connection of the request. An
     instance of an older build does not set it, ``accepts_compressed`` or
-    ``accepts_deltas``. ``news`` has the lease if the follower knows a newer
+    ``accepts_deltas``. ``is_small`` is set if it should not be a relay, and
+    ``news`` has the lease if the follower knows a newer
     one than the recipient has shown.
     """
 
@@ -54,6 +55,7 @@
     received_count: int = NOT_COUNTED
     accepts_deltas: bool = False
     news: "tuple[RelayedChange, ...]" = ()
+    is_small: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/dragonflyshelf/core/relay/relay_selector.py
+++ b/dragonflyshelf/core/relay/relay_selector.py
@@ -52,6 +52,11 @@
         """Return the address for update requests, None if there is none."""
         return self._relay_address or self._leader_address
 
+    @property
+    def relay_address(self) -> addresses.Address:
+        """Return the address of the relay, ``NO_ADDRESS`` without one."""
+        return self._relay_address or addresses.NO_ADDRESS
+
     @property
     def uses_relay(self) -> bool:
         """Return whether updates are requested from a relay."""
--- a/dragonflyshelf/core/settings.py
+++ b/dragonflyshelf/core/settings.py
@@ -26,13 +26,35 @@
     WARNING = "warning"
 
 
+MIN_SERVING_CORES: Final = 0.5
+"""Cores that a leader or relay of many instances needs."""
+
+MIN_SERVING_LINK_MBPS: Final = 20.0
+"""Mbit/s that a leader or relay of many instances needs."""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class InstanceSettings:
-    """Section ``instance``: identity of this process."""
+    """Section ``instance``: identity and size of this process.
+
+    It may use the share ``core_share`` of a core, ``cores`` times as fast
+    as a usual one, and ``link_mbps`` Mbit/s of its network link.
+    """
 
     name: ids.InstanceId
     data_centre: ids.DataCentreId
     region: str = "local"
+    core_share: Annotated[float, ranges.Range(minimum=0.001, maximum=1)] = 1.0
+    cores: Annotated[float, ranges.Range(minimum=0.01, maximum=1024)] = 1.0
+    link_mbps: Annotated[float, ranges.Range(minimum=0.1, maximum=1e6)] = 1e3
+
+    @property
+    def is_small(self) -> bool:
+        """Return whether it should not serve many other instances."""
+        processor = self.core_share * self.cores
+        return processor < MIN_SERVING_CORES or (
+            self.link_mbps < MIN_SERVING_LINK_MBPS
+        )
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/dragonflyshelf/runtime/gateway/relay_coordinator.py
+++ b/dragonflyshelf/runtime/gateway/relay_coordinator.py
@@ -57,6 +57,7 @@
         """
         self._own_lease = own_lease
         self._data_centre = config.instance.data_centre
+        self._is_small = config.instance.is_small
         self._replica = store_replica
         self._token_pool = pool.TokenPool()
         self._relay_selector = relay_selector.RelaySelector(own_lease.holder)
@@ -184,6 +185,7 @@
             accepts_compressed=True,
             accepts_deltas=True,
             news=self._news_for_source(),
+            is_small=self._is_small,
         )
 
     def _news_for_source(self) -> tuple[relay.RelayedChange, ...]:
@@ -254,7 +256,13 @@
         if self.followers.has_link(link):
             complete_at = self.completeness.complete_at(is_leading)
             link.post(
-                self.followers.next_update(link, is_leading, now, complete_at)
+                self.followers.next_update(
+                    link,
+                    is_leading,
+                    now,
+                    complete_at,
+                    self._relay_selector.relay_address,
+                )
             )
 
     def request_tokens(
--- a/tests/codec/test_settings_reference.py
+++ b/tests/codec/test_settings_reference.py
@@ -53,6 +53,9 @@
     "InternalPorts.0": "7100",
     "InternalPorts.1": "7115",
     "Platform.Address": "10.200.1.7:8041",
+    "Limits.CpuShare": "0.717",
+    "Limits.Cores": "3",
+    "Limits.LinkMbps": "60.0",
     "Bounds.RetryBudgetRatio": "0.2",
     "Bounds.RetryBudgetSlack": "56",
     "Bounds.BudgetWindowS": "10",
@@ -92,6 +95,11 @@
         parsed = ini.parse("local.ini", text)
         assert parsed.entry.callers == "10.1.0.24:8045"
         assert parsed.store.address == "10.200.1.7:8041"
+        assert (parsed.instance.core_share, parsed.instance.cores) == (
+            0.717,
+            3,
+        )
+        assert parsed.instance.link_mbps == 60.0
         assert (parsed.retries.share, parsed.retries.window) == (0.2, 10.0)
         assert (parsed.promises.apply, parsed.promises.drain) == (2.5, 2.0)
         assert (parsed.shutdown.settle, parsed.shutdown.deadline) == (2.3, 5.6)
@@ -104,7 +112,7 @@
                 {
                     name: value
                     for name, value in VALUES_BY_PLACEHOLDER.items()
-                    if not name.startswith("Bounds.")
+                    if not name.startswith(("Bounds.", "Limits."))
                     or name in REQUIRED_BOUNDS
                 }
             ),
--- a/tests/core/grantor/test_histories.py
+++ b/tests/core/grantor/test_histories.py
@@ -2,7 +2,11 @@
 
 import pytest
 
+from dragonflyshelf.core.grantor import lease
 from dragonflyshelf.core.grantor import messages
+from dragonflyshelf.core.grantor import objects
+from dragonflyshelf.core import ids
+from dragonflyshelf.core import settings
 from tests.core.grantor import simulation as simulations
 
 SEED_COUNT = 40
@@ -102,6 +106,47 @@
         assert leader not in simulation.leaders()
 
 
+class TestTakeoverBySize:
+    """A small instance that took the lease could not serve the others."""
+
+    def make_delays(self, count: int, **values: float) -> list[float]:
+        """Return the takeover delays of instances, in order."""
+        delays = []
+        for number in range(count):
+            name = ids.InstanceId(f"i{number}")
+            instance = settings.InstanceSettings(
+                name=name,
+                data_centre=ids.DataCentreId("a"),
+                **values,  # type: ignore[arg-type]
+            )
+            own_lease = objects.Lease(
+                holder=name,
+                incarnation=ids.Incarnation(1),
+                host="h",
+                port=1,
+                count=0,
+            )
+            manager = lease.LeaseManager(
+                settings.Settings(instance=instance), own_lease
+            )
+            manager.set_instance_count(count)
+            delays.append(manager._takeover_delay)
+        return sorted(delays)
+
+    @pytest.mark.parametrize(
+        "values", [{"link_mbps": 6.0}, {"core_share": 0.43}]
+    )
+    def test_small_instances_wait(self, values: dict[str, float]) -> None:
+        """They try only when all others have had the time to."""
+        assert self.make_delays(195)[-1] <= self.make_delays(195, **values)[0]
+
+    @pytest.mark.parametrize("count", [8, 65, 195])
+    def test_small_instances_alone(self, count: int) -> None:
+        """Without others one of them tries 1.7 s after the lease's end."""
+        first = self.make_delays(count, link_mbps=6.0)[0]
+        assert first <= 1.7
+
+
 class TestRecovery:
     """Time until every key has a holder again."""
 
--- a/tests/core/relay/test_relay.py
+++ b/tests/core/relay/test_relay.py
@@ -393,6 +393,31 @@
         assert relays[:2] == [addresses.NO_ADDRESS] * 2
         assert relays[2:] == [address("i2"), address("i3")] * 15
 
+    def test_small_relay_is_replaced(self) -> None:
+        """An instance that is not small takes its place, and keeps it."""
+        collection = self.make_followers()
+        remote = ids.DataCentreId("b")
+        for name, is_small in (("i2", True), ("i3", True), ("i4", False)):
+            request = make_request(
+                1, 0, name, data_centre=remote, is_small=is_small
+            )
+            collection.record_request(name, request, at(2.0))
+            collection.next_update(name, True, at(2.0))
+        relays = [
+            collection.next_update(name, True, at(2.1)).relay
+            for name in ("i2", "i3", "i4")
+        ]
+        assert relays == [address("i4"), address("i4"), addresses.NO_ADDRESS]
+
+    def test_followers_of_a_replaced_relay(self) -> None:
+        """It sends them to the relay that it follows itself."""
+        collection = self.make_followers()
+        collection.record_request("member", make_request(1, 5), at(2.0))
+        redirect = collection.next_update(
+            "member", False, at(2.0), own_relay=address("i4")
+        )
+        assert redirect.relay == address("i4")
+
     def test_silent_relay_is_replaced(self) -> None:
         """The next follower to send a request replaces a silent relay."""
         collection = self.make_followers()
