Let members of a relay read the store one after the other

Change: a member waits for its place, spread over the time that the promises leave, 0.75 s where a change is in force in 3 s, none where it is 2 s. The first to read a new lease tells its relay, which tells the others.

Result: at most 10 of 39 members read at the age at which all did, and all do 0.25 s before the promise; the test failed before.

--- a/dragonflyshelf/core/grantor/lease.py
+++ b/dragonflyshelf/core/grantor/lease.py
@@ -9,14 +9,13 @@
 import dataclasses
 import enum
 
-import xxhash
-
 from dragonflyshelf.core.grantor import const
 from dragonflyshelf.core.grantor import messages
 from dragonflyshelf.core.grantor import objects
 from dragonflyshelf.core.grantor import range_grants
 from dragonflyshelf.core import ids
 from dragonflyshelf.core import settings
+from dragonflyshelf.core import stagger
 from dragonflyshelf.core.store import messages as store
 
 LEASE_NAME = ids.ObjectName(const.LEASE_NAME)
@@ -63,10 +62,9 @@
         self._resigned = False
         self.role = Role.FOLLOWER
         self.predecessor_until = DISTANT_PAST
-        digest = xxhash.xxh64_intdigest(
-            f"{own_lease.holder}/{own_lease.incarnation}".encode()
+        self._stagger_ratio = stagger.find_ratio(
+            f"{own_lease.holder}/{own_lease.incarnation}"
         )
-        self._stagger_ratio = (digest % 1000) / 1000
         self._instance_count = const.DEFAULT_INSTANCE_COUNT
 
     def set_instance_count(self, count: int) -> None:
--- a/dragonflyshelf/core/relay/watch_selector.py
+++ b/dragonflyshelf/core/relay/watch_selector.py
@@ -93,8 +93,14 @@
         self,
         leadership: settings.LeadershipSettings,
         promises: settings.PromiseSettings,
+        stagger_ratio: float = 0.0,
     ) -> None:
-        """Create a selector that has received no update."""
+        """Create a selector that has received no update.
+
+        ``stagger_ratio``, from 0 to 1, is this instance's place among the
+        members of a relay, of which a few are to read the store first.
+        """
+        self._stagger_ratio = stagger_ratio
         self._lease_seconds = leadership.lease
         self._max_unwatched_age = promises.change - DIRECT_READ_SECONDS
         self._updated_at = ids.Instant(0.0)
@@ -139,10 +145,17 @@
         return self._has_update and state.complete_age > max_age
 
     def _max_complete_age(self, state: ReplicaState) -> float:
-        """Return the age in seconds of a complete replica in a valid lease."""
-        if state.uses_relay:
-            return self._lease_seconds + RELAY_DELAY_SECONDS
-        return self._lease_seconds
+        """Return the age in seconds past which the lease is read.
+
+        A complete replica has it at most while the lease is valid. Members
+        of a relay begin one after the other, as far as the promises allow:
+        the first of them tells the relay, which tells the others.
+        """
+        if not state.uses_relay:
+            return self._lease_seconds
+        age = self._lease_seconds + RELAY_DELAY_SECONDS
+        room = max(self._max_unwatched_age - TAKEOVER_SECONDS - age, 0.0)
+        return age + room * self._stagger_ratio
 
     def _kinds_with_updates(
         self, state: ReplicaState, now: ids.Instant
--- a/dragonflyshelf/runtime/gateway/control.py
+++ b/dragonflyshelf/runtime/gateway/control.py
@@ -25,6 +25,7 @@
 from dragonflyshelf.core.routing import objects as routing
 from dragonflyshelf.core.scheduling import messages as scheduling
 from dragonflyshelf.core import settings
+from dragonflyshelf.core import stagger
 from dragonflyshelf.core.store import messages as store
 from dragonflyshelf.core.store import replica
 from dragonflyshelf.core.upstreams import messages as upstream_events
@@ -110,7 +111,9 @@
             config, own_lease, self._replica
         )
         self._watch_selector = watch_selector.WatchSelector(
-            config.leadership, config.promises
+            config.leadership,
+            config.promises,
+            stagger.find_ratio(config.instance.name),
         )
         self._watched_kinds: abc.Set[Kind] = watch_selector.NO_KINDS
         self._instances: tuple[ids.InstanceId, ...] = ()
--- a/tests/core/relay/test_relay.py
+++ b/tests/core/relay/test_relay.py
@@ -731,6 +731,45 @@
             )
             assert selector.select_kinds(state, at(5.1)) == kinds
 
+    @pytest.mark.parametrize(
+        "promises", [PROMISES, settings.PromiseSettings(apply=3.0, drain=3.0)]
+    )
+    def test_members_one_after_the_other(
+        self, promises: settings.PromiseSettings
+    ) -> None:
+        """Not all of 39 members read the store at once, but all in time.
+
+        Else a lost leader costs calls for each instance.
+        """
+        first_age = LEADERSHIP.lease + watch_selector.RELAY_DELAY_SECONDS
+        last_age = promises.drain - watch_selector.DIRECT_READ_SECONDS
+        kinds_by_age = {
+            age: [
+                self.select_kinds(promises, number / 39, age)
+                for number in range(39)
+            ]
+            for age in (first_age + 0.05, last_age + 0.01)
+        }
+        early_kinds, late_kinds = kinds_by_age.values()
+        assert late_kinds == [watch_selector.ALL_KINDS] * 39
+        reading_count = sum(map(bool, early_kinds))
+        assert 1 <= reading_count <= 10
+
+    def select_kinds(
+        self,
+        promises: settings.PromiseSettings,
+        stagger_ratio: float,
+        complete_age: float,
+    ) -> object:
+        """Return the kinds that a member with a place watches."""
+        selector = watch_selector.WatchSelector(
+            LEADERSHIP, promises, stagger_ratio
+        )
+        selector.start(at(0.0))
+        selector.record_update(at(5.0))
+        state = make_state(0.5, complete_age, uses_relay=True)
+        return selector.select_kinds(state, at(5.1))
+
     def test_drain_seen_late_behind_a_refused_relay(self) -> None:
         """Leader and relay lost the store: a member read it after 2.1 s."""
         selector = watch_selector.WatchSelector(LEADERSHIP, SHORT_PROMISES)
