Let the relay of a data centre assign the slots of its upstreams

Load pattern: 195 instances that see 3.9 requests a second each. An instance meets the same upstream once in 50 s and knows no load but its own; what all are told at once makes them choose the same upstream.

Change: a member of a relay asks it, when a request is admitted, for a slot of an upstream of its data centre. The relay counts what it has assigned as load, chooses by the service times of all members, and answers at once, also that none is free; then the member places the request itself, first in other data centres. The end is reported with the load report; a slot whose end is not reported is free some time after the deadline. A relay that is silent for 60 ms isn't asked for a second. Bodies make no hop, and outcomes, retries, divided services, cold and leaving upstreams stay as they were. Older builds are not asked (a field of updates says who assigns).

--- a/dragonflyshelf/codec/relay.capnp
+++ b/dragonflyshelf/codec/relay.capnp
@@ -84,6 +84,33 @@
   instances @2 :List(Text);
   relay @3 :Address;
   age @4 :Float64 = inf;
+  servesSlots @5 :Bool;
+}
+
+struct SlotRequest {
+  number @0 :UInt64;
+  service @1 :Text;
+  objective @2 :Float32;
+  remaining @3 :Float32;
+}
+
+struct SlotAssignment {
+  number @0 :UInt64;
+  incarnation @1 :Text;
+}
+
+struct LoadReport {
+  running @0 :UInt32;
+  waiting @1 :UInt32;
+  slots @2 :UInt32;
+  slowdown @3 :Float32;
+}
+
+struct SlotReport {
+  number @0 :UInt64;
+  result @1 :Text;
+  seconds @2 :Float32;
+  report @3 :LoadReport;
 }
 
 struct Frame {
@@ -92,5 +119,8 @@
     update @1 :Update;
     borrow @2 :Borrow;
     lend @3 :Lend;
+    slotRequest @4 :SlotRequest;
+    slotAssignment @5 :SlotAssignment;
+    slotReport @6 :SlotReport;
   }
 }
--- a/dragonflyshelf/codec/relay.py
+++ b/dragonflyshelf/codec/relay.py
@@ -5,6 +5,7 @@
 
 from dragonflyshelf.codec import frames
 from dragonflyshelf.core.relay import messages
+from dragonflyshelf.core.slots import messages as slots
 
 SCHEMA_PATH: Final = pathlib.Path(__file__).with_name("relay.capnp")
 
@@ -14,6 +15,9 @@
         "ask": messages.UpdateRequest,
         "borrow": messages.TokenRequests,
         "lend": messages.TokenAllocations,
+        "slotAssignment": slots.SlotAssignment,
+        "slotReport": slots.SlotReport,
+        "slotRequest": slots.SlotRequest,
         "update": messages.Update,
     },
 )
--- a/dragonflyshelf/core/relay/followers.py
+++ b/dragonflyshelf/core/relay/followers.py
@@ -212,6 +212,7 @@
             instances=self._new_instances(follower, is_leading, now),
             relay=relay,
             age=follower.requested_at - complete_at,
+            serves_slots=not is_leading,
         )
         sent_by_kind = {
             relayed.kind: relayed.revision for relayed in update.kinds
--- a/dragonflyshelf/core/relay/messages.py
+++ b/dragonflyshelf/core/relay/messages.py
@@ -100,7 +100,8 @@
     unchanged since the last update. ``relay`` is the address for further
     requests, ``NO_ADDRESS`` to stay with the sender. ``age`` is the time in
     seconds up to the arrival of the request since the sender's replica was
-    complete; it is negative if that was after the arrival.
+    complete; it is negative if that was after the arrival. ``serves_slots``
+    is set by a relay that assigns slots to its followers.
     """
 
     number: int
@@ -108,6 +109,7 @@
     instances: tuple[ids.InstanceId, ...]
     relay: addresses.Address = addresses.NO_ADDRESS
     age: float = UNKNOWN_AGE
+    serves_slots: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/dragonflyshelf/core/scheduling/dispatcher.py
+++ b/dragonflyshelf/core/scheduling/dispatcher.py
@@ -186,9 +186,12 @@
                 for upstream in available
                 if upstream.registration.id not in exchange.tried_upstreams
             ]
+            candidates = untried or available
+            if exchange.is_local_full:
+                candidates = self._fleet.remote(candidates) or candidates
             objective = exchange.match.route.latency_objective
             yield exchange_id, self._fleet.choose(
-                service, untried or available, objective, now
+                service, candidates, objective, now
             )
 
     def _pop(self, target_queue: queue.FairQueue) -> ids.ExchangeId:
--- a/dragonflyshelf/core/scheduling/exchanges.py
+++ b/dragonflyshelf/core/scheduling/exchanges.py
@@ -21,6 +21,7 @@
     DONE = "done"
     RETRY_DELAY = "paused"
     AWAITING_TOKEN = "borrowing"
+    AWAITING_SLOT = "awaiting_slot"
     QUEUED = "queued"
     IN_FLIGHT = "sent"
 
@@ -31,7 +32,9 @@
 
     ``deadline`` is the earlier of the caller's deadline and the route's
     timeout. ``possible_run_count`` counts the attempts in which the
-    upstream may have executed the request.
+    upstream may have executed the request. ``has_slot`` is set while it is
+    in a slot that was assigned, and ``is_local_full`` once no upstream of
+    this data centre had a free one.
     """
 
     id: ids.ExchangeId
@@ -50,6 +53,8 @@
     attempt_count: int = 0
     possible_run_count: int = 0
     has_token: bool = False
+    has_slot: bool = False
+    is_local_full: bool = False
 
     @property
     def workspace(self) -> ids.WorkspaceId | None:
--- a/dragonflyshelf/core/scheduling/fleet.py
+++ b/dragonflyshelf/core/scheduling/fleet.py
@@ -174,6 +174,50 @@
         policy = choice.POLICIES.get(choice.DEFAULT_POLICY)
         return policy(choice.exclude_ejected(candidates, now), context)
 
+    def remote(
+        self, upstreams: abc.Iterable[state.UpstreamState]
+    ) -> list[state.UpstreamState]:
+        """Return the upstreams of other data centres."""
+        return [
+            upstream
+            for upstream in upstreams
+            if upstream.registration.data_centre != self._data_centre
+        ]
+
+    def choose_local(
+        self, name: ids.ServiceName, objective: float, now: ids.Instant
+    ) -> state.UpstreamState | None:
+        """Return the best upstream of this data centre with a free slot.
+
+        Upstreams that warm up are left out: their senders are fixed.
+        """
+        service = self.service_state(name)
+        candidates = [
+            upstream
+            for upstream in self.usable_upstreams(name)
+            if upstream.registration.data_centre == self._data_centre
+            and upstream.has_free_slot(now)
+            and now >= self.backoff_until(upstream)
+            and not upstream.is_warming_up(now)
+            and not upstream.is_ejected(now)
+        ]
+        if not candidates:
+            return None
+        return self.choose(service, candidates, objective, now)
+
+    def find_acceptable(
+        self,
+        name: ids.ServiceName,
+        incarnation: ids.UpstreamIncarnation,
+        now: ids.Instant,
+    ) -> state.UpstreamState | None:
+        """Return an upstream that may get a request now, None otherwise."""
+        upstreams = self.service_state(name).upstreams_by_incarnation
+        upstream = upstreams.get(incarnation)
+        if upstream is None or not self.is_usable(upstream):
+            return None
+        return upstream if self.can_accept(upstream, now) else None
+
     def _warmup_rate(self, upstream: state.UpstreamState) -> float:
         service_config = self._services_by_name.get(
             upstream.registration.service
--- a/dragonflyshelf/core/scheduling/messages.py
+++ b/dragonflyshelf/core/scheduling/messages.py
@@ -9,6 +9,7 @@
 from dragonflyshelf.core.quota import messages as quota
 from dragonflyshelf.core.routing import objects as routing
 from dragonflyshelf.core import settings
+from dragonflyshelf.core.slots import messages as slots
 from dragonflyshelf.core.upstreams import messages as upstream_events
 from dragonflyshelf.core.upstreams import objects as upstreams
 from dragonflyshelf.core.upstreams import state
@@ -118,7 +119,14 @@
 
 
 Effect = (
-    CancelAttempt | Refuse | ReturnUnsent | SendUpstream | quota.TokenRequest
+    slots.AssignSlot
+    | CancelAttempt
+    | Refuse
+    | ReturnUnsent
+    | SendUpstream
+    | slots.SlotReport
+    | slots.SlotRequest
+    | quota.TokenRequest
 )
 Event = (
     AssignmentsChanged
@@ -126,11 +134,15 @@
     | ConfigurationChanged
     | ConfigurationConfirmed
     | upstream_events.EvacuationsChanged
+    | slots.BrokerChanged
     | ExchangeFinished
     | InstancesChanged
     | upstream_events.RegistrationsChanged
     | RequestArrived
     | settings.SettingsChanged
+    | slots.SlotAssignment
+    | slots.SlotReported
+    | slots.SlotRequested
     | TimePassed
     | quota.TokenAllocation
     | upstream_events.UpstreamNotice
--- /dev/null
+++ b/dragonflyshelf/core/slots/__init__.py
@@ -0,0 +1,1 @@
+"""Slots of upstreams, assigned to the instances of a data centre."""
--- /dev/null
+++ b/dragonflyshelf/core/slots/const.py
@@ -0,0 +1,15 @@
+"""Constants of the assignment of slots."""
+
+from typing import Final
+
+REQUEST_TIMEOUT_SECONDS: Final = 0.06
+"""Seconds after which an instance places a request itself."""
+
+AVOIDANCE_SECONDS: Final = 1.0
+"""Seconds for which a broker that has not responded is not asked."""
+
+TERM_MARGIN_SECONDS: Final = 1.0
+"""Time after a request's deadline at which its slot is free again.
+
+By then its instance would have reported the end.
+"""
--- a/dragonflyshelf/core/upstreams/state.py
+++ b/dragonflyshelf/core/upstreams/state.py
@@ -87,6 +87,12 @@
         capacity = self.registration.slots + const.MAX_EXCESS_REQUEST_COUNT
         return self.load(now) < capacity
 
+    def has_free_slot(self, now: ids.Instant) -> bool:
+        """Return whether one more request would run at once."""
+        if now < self._backoff_until:
+            return False
+        return self.load(now) + 1 <= self.registration.slots
+
     def is_ejected(self, now: ids.Instant) -> bool:
         """Return whether the upstream is ejected after failures."""
         return now < self.ejected_until
--- a/dragonflyshelf/runtime/gateway/relay_coordinator.py
+++ b/dragonflyshelf/runtime/gateway/relay_coordinator.py
@@ -25,6 +25,7 @@
 from dragonflyshelf.core.relay import updates
 from dragonflyshelf.core.routing import objects as routing
 from dragonflyshelf.core import settings
+from dragonflyshelf.core.slots import messages as slots
 from dragonflyshelf.core.store import messages as store
 from dragonflyshelf.core.store import replica
 from dragonflyshelf.core.upstreams import service_times
@@ -63,6 +64,7 @@
         self._relay_selector = relay_selector.RelaySelector(own_lease.holder)
         self._request_number = 0
         self._posted_address: addresses.Address | None = None
+        self._has_broker = False
         self._shown_revision = ids.Revision(0)
         self._requested_at_by_number: dict[int, ids.Instant] = {}
         self._service_time_tally = service_times.ServiceTimeTally()
@@ -96,8 +98,16 @@
         if address != self._posted_address:
             self._posted_address = address
             self._shown_revision = ids.Revision(0)
+            self._set_broker(False)
         self._post_to_client(messages.SetUpdateSource(address=address))
 
+    def _set_broker(self, is_available: bool) -> None:
+        """Publish whether the update source assigns slots."""
+        if is_available != self._has_broker:
+            self._has_broker = is_available
+            assert self.router is not None
+            self.router.post(slots.BrokerChanged(is_available=is_available))
+
     def _post_to_client(
         self,
         message: (
@@ -216,6 +226,8 @@
             return
         self._relay_selector.record_update(update.relay, now)
         self._post_update_source()
+        if update.kinds:
+            self._set_broker(self.uses_relay and update.serves_slots)
         if update.instances:
             self.followers.set_leader_instances(update.instances)
         for relayed_kind in update.kinds:
--- a/dragonflyshelf/runtime/gateway/router.py
+++ b/dragonflyshelf/runtime/gateway/router.py
@@ -18,6 +18,7 @@
 from dragonflyshelf.core.scheduling import coordinator
 from dragonflyshelf.core.scheduling import messages as scheduling
 from dragonflyshelf.core import settings
+from dragonflyshelf.core.slots import messages as slots
 from dragonflyshelf.core.upstreams import messages as upstream_events
 from dragonflyshelf.core.upstreams import objects as upstreams
 from dragonflyshelf.core.upstreams import service_times
@@ -239,6 +240,22 @@
     def _on_token_allocation(self, message: quota.TokenAllocation) -> None:
         self._handle_event(message)
 
+    @task.handles(slots.BrokerChanged)
+    def _on_broker_changed(self, message: slots.BrokerChanged) -> None:
+        self._handle_event(message)
+
+    @task.handles(slots.SlotAssignment)
+    def _on_slot_assignment(self, message: slots.SlotAssignment) -> None:
+        self._handle_event(message)
+
+    @task.handles(slots.SlotRequested)
+    def _on_slot_requested(self, message: slots.SlotRequested) -> None:
+        self._handle_event(message)
+
+    @task.handles(slots.SlotReported)
+    def _on_slot_reported(self, message: slots.SlotReported) -> None:
+        self._handle_event(message)
+
     @task.handles(LoadRequest)
     def _on_load_request(self, message: LoadRequest) -> None:
         core = self._core
@@ -367,11 +384,20 @@
             )
         )
 
+    @EFFECT_HANDLERS.register(slots.SlotReport)
+    @EFFECT_HANDLERS.register(slots.SlotRequest)
     @EFFECT_HANDLERS.register(quota.TokenRequest)
-    def _request_tokens(self, effect: quota.TokenRequest) -> None:
+    def _forward_to_control(
+        self,
+        effect: quota.TokenRequest | slots.SlotReport | slots.SlotRequest,
+    ) -> None:
         if self.control_inbox is not None:
             self.control_inbox.post(effect)
 
+    @EFFECT_HANDLERS.register(slots.AssignSlot)
+    def _assign_slot(self, effect: slots.AssignSlot) -> None:
+        effect.link.post(effect.assignment)
+
     @EFFECT_HANDLERS.register(scheduling.CancelAttempt)
     def _cancel_attempt(self, effect: scheduling.CancelAttempt) -> None:
         active_exchange = self._exchanges_by_id.get(effect.exchange)
--- a/dragonflyshelf/runtime/relay/client.py
+++ b/dragonflyshelf/runtime/relay/client.py
@@ -12,6 +12,7 @@
 from dragonflyshelf.core import addresses
 from dragonflyshelf.core import errors
 from dragonflyshelf.core.relay import messages as relay
+from dragonflyshelf.core.slots import messages as slots
 from dragonflyshelf.runtime import inbox
 from dragonflyshelf.runtime.relay import messages
 from dragonflyshelf.runtime import sockets
@@ -134,7 +135,9 @@
             if isinstance(frame, relay.Update):
                 self._received_count += 1
                 self._control_inbox.post(messages.UpdateReceived(update=frame))
-            elif isinstance(frame, relay.TokenAllocations):
+            elif isinstance(
+                frame, relay.TokenAllocations | slots.SlotAssignment
+            ):
                 self._control_inbox.post(frame)
 
     def _decompress(self, frame: Any) -> Any:
@@ -143,6 +146,21 @@
             return self._decompressor.decompress(frame)
         return frame
 
+    @task.handles(slots.SlotRequest)
+    def _on_slot_request(self, message: slots.SlotRequest) -> None:
+        self._send_if_connected(message)
+
+    @task.handles(slots.SlotReport)
+    def _on_slot_report(self, message: slots.SlotReport) -> None:
+        self._send_if_connected(message)
+
+    def _send_if_connected(
+        self, message: slots.SlotReport | slots.SlotRequest
+    ) -> None:
+        """Send a message that is of no use later."""
+        if self._transport is not None:
+            self._transport.write(codec.CODEC.encode(message))
+
     @task.handles(relay.TokenRequests)
     def _on_token_requests(self, message: relay.TokenRequests) -> None:
         self._send(message)
--- a/dragonflyshelf/runtime/relay/server.py
+++ b/dragonflyshelf/runtime/relay/server.py
@@ -11,6 +11,7 @@
 from dragonflyshelf.codec import relay as codec
 from dragonflyshelf.core import errors
 from dragonflyshelf.core.relay import messages as relay
+from dragonflyshelf.core.slots import messages as slots
 from dragonflyshelf.runtime import inbox
 from dragonflyshelf.runtime.relay import messages
 from dragonflyshelf.runtime import sockets
@@ -54,7 +55,13 @@
             self._forward(frame)
 
     def _forward(
-        self, request: relay.UpdateRequest | relay.TokenRequests
+        self,
+        request: (
+            relay.UpdateRequest
+            | relay.TokenRequests
+            | slots.SlotReport
+            | slots.SlotRequest
+        ),
     ) -> None:
         if isinstance(request, relay.UpdateRequest):
             self._accepts_compressed = request.accepts_compressed
@@ -71,11 +78,25 @@
                 )
             )
 
+        elif isinstance(request, slots.SlotRequest):
+            self._control_inbox.post(
+                slots.SlotRequested(link=self.inbox, request=request)
+            )
+        elif isinstance(request, slots.SlotReport):
+            self._control_inbox.post(
+                slots.SlotReported(link=self.inbox, report=request)
+            )
+
     @task.handles(relay.TokenAllocations)
     def _on_token_allocations(self, message: relay.TokenAllocations) -> None:
         if self._transport is not None:
             self._transport.write(codec.CODEC.encode(message))
 
+    @task.handles(slots.SlotAssignment)
+    def _on_slot_assignment(self, message: slots.SlotAssignment) -> None:
+        if self._transport is not None:
+            self._transport.write(codec.CODEC.encode(message))
+
     @task.handles(relay.Update)
     def _on_update(self, message: relay.Update) -> None:
         if self._transport is None:
--- a/tests/runtime/deployment.py
+++ b/tests/runtime/deployment.py
@@ -26,11 +26,14 @@
         return port
 
 
-def make_settings(name: str, store_port: int) -> settings.Settings:
+def make_settings(
+    name: str, store_port: int, data_centre: str = "a"
+) -> settings.Settings:
     """Return settings of an instance on the loopback interface."""
     return settings.Settings(
         instance=settings.InstanceSettings(
-            name=ids.InstanceId(name), data_centre=ids.DataCentreId("a")
+            name=ids.InstanceId(name),
+            data_centre=ids.DataCentreId(data_centre),
         ),
         entry=settings.EntrySettings(
             callers=f"{HOST}:{find_free_port()}",
@@ -96,9 +99,12 @@
 
 @contextlib.asynccontextmanager
 async def async_run_deployment(
-    instance_count: int = 2,
+    instance_count: int = 2, data_centres: str = "a"
 ) -> abc.AsyncIterator[Deployment]:
-    """Run a deployment for the duration of a ``with`` block."""
+    """Run a deployment for the duration of a ``with`` block.
+
+    Instances and upstreams are in the data centres in turn.
+    """
     async with contextlib.AsyncExitStack() as stack:
         store_server = await stack.enter_async_context(store.async_run_store())
         store_server.objects.create(
@@ -107,17 +113,19 @@
             configuration.build_configuration(1, [CALLER_KEY]),
         )
         upstreams = []
-        for name, service, sharded in (
-            ("u1", "letters", False),
-            ("u2", "letters", False),
-            ("u3", "archive", True),
-            ("u4", "archive", True),
+        for name, service, sharded, data_centre in (
+            ("u1", "letters", False, data_centres[0]),
+            ("u2", "letters", False, data_centres[-1]),
+            ("u3", "archive", True, data_centres[0]),
+            ("u4", "archive", True, data_centres[-1]),
         ):
             upstream_server = await stack.enter_async_context(
                 upstream.async_run_upstream(name, service, sharded=sharded)
             )
             store_server.objects.create(
-                "servers", name, upstream_server.make_registration(HOST, "a")
+                "servers",
+                name,
+                upstream_server.make_registration(HOST, data_centre),
             )
             upstreams.append(upstream_server)
         servers = []
@@ -127,7 +135,11 @@
                 proxy.async_run_proxy(store_server.port)
             )
             store_proxies.append(store_proxy)
-            config = make_settings(f"i{instance_index}", store_proxy.port)
+            config = make_settings(
+                f"i{instance_index}",
+                store_proxy.port,
+                data_centres[instance_index % len(data_centres)],
+            )
             servers.append(
                 await stack.enter_async_context(
                     server.async_run_server(config)
--- a/tests/runtime/test_gateway.py
+++ b/tests/runtime/test_gateway.py
@@ -3,8 +3,12 @@
 import asyncio
 from collections import abc
 import contextlib
+import time
 import typing
 
+from dragonflyshelf.core import ids
+from dragonflyshelf.core.scheduling import exchanges
+from dragonflyshelf.core.upstreams import state
 from dragonflyshelf.runtime.gateway import server
 from stand_ins import store
 from stand_ins import upstream
@@ -22,10 +26,12 @@
 
 @contextlib.asynccontextmanager
 async def async_run_ready_deployment(
-    instance_count: int = 2,
+    instance_count: int = 2, data_centres: str = "a"
 ) -> abc.AsyncIterator[deployments.Deployment]:
     """Run a deployment and wait until all instances are ready."""
-    async with deployments.async_run_deployment(instance_count) as deployment:
+    async with deployments.async_run_deployment(
+        instance_count, data_centres
+    ) as deployment:
         await async_wait_until(
             lambda: all(
                 instance.control.is_ready for instance in deployment.servers
@@ -191,3 +197,59 @@
                 assert response.status == 200
 
         asyncio.run(async_check())
+
+
+class TestSlots:
+    """Slots that the relay of a data centre assigns to its members."""
+
+    def test_member_of_a_relay(self) -> None:
+        """Its requests go to the upstream of its data centre, once each."""
+
+        async def async_check() -> None:
+            async with async_run_ready_deployment(6, "ab") as deployment:
+                assignments = record_assignments(deployment)
+                async with asyncio.timeout(TIMEOUT_SECONDS):
+                    while not assignments:
+                        await async_call_all(deployment)
+                        await asyncio.sleep(0.1)
+                request_ids = [
+                    request.request_id
+                    for upstream_server in deployment.upstreams
+                    for request in upstream_server.executed_requests
+                ]
+                assert len(set(request_ids)) == len(request_ids)
+                assert all(assignments)
+
+        asyncio.run(async_check())
+
+
+def record_assignments(
+    deployment: deployments.Deployment,
+) -> list[ids.UpstreamIncarnation]:
+    """Return a list to which the assigned upstreams are added."""
+    assignments: list[ids.UpstreamIncarnation] = []
+    for instance in deployment.servers:
+        core = instance.router._core
+        send = core._send
+
+        def record_and_send(
+            exchange: exchanges.Exchange,
+            upstream_state: state.UpstreamState,
+            now: ids.Instant,
+            send: typing.Any = send,
+        ) -> object:
+            if exchange.has_slot:
+                assignments.append(upstream_state.registration.incarnation)
+            return send(exchange, upstream_state, now)
+
+        core._send = record_and_send  # type: ignore[assignment]
+    return assignments
+
+
+async def async_call_all(deployment: deployments.Deployment) -> None:
+    """Send an order to each instance; each succeeds."""
+    for instance_index in range(len(deployment.servers)):
+        number = len(deployment.upstreams[0].executed_requests)
+        path = f"/order/{instance_index}-{number}-{time.monotonic_ns()}"
+        response = await deployment.async_call(path, instance_index)
+        assert response.status == 200
