Grant ranges for longer where work is long

Cause: an upstream ends work that outlasts the grant under which it began, also if the grant was renewed since. The log shows the 500s in clusters 0.6 s apart, the interval of renewals (16.26, 16.86, 17.46, 18.06, 18.66 s), 2.4 s after each. Work there takes 1.2 s in the mean, at slow upstreams several times as long.

Change: a grant is valid for six mean service times of its service, 2.4 s at least and 8 s, or what upstreams accept, at most. A successor counts with the longest. Price: the keys of an upstream that is silent, not ended, are served again later where work is long; where it takes 0.4 s or less, nothing changes.

--- a/dragonflyshelf/core/grantor/shards.py
+++ b/dragonflyshelf/core/grantor/shards.py
@@ -9,6 +9,7 @@
 
 from dragonflyshelf.core.grantor import const
 from dragonflyshelf.core.grantor import failure_detector
+from dragonflyshelf.core.grantor import hold
 from dragonflyshelf.core.grantor import messages
 from dragonflyshelf.core.grantor import objects
 from dragonflyshelf.core.grantor import planning
@@ -33,6 +34,7 @@
         """Create a manager that has not read a plan yet."""
         self._service = service
         self._config = config
+        self._hold = config.hold
         self._plan: objects.ShardPlan | None = None
         self._revision = ids.Revision(0)
         self._grants_by_first_key: dict[
@@ -93,8 +95,13 @@
     ) -> None:
         """Set the measured service times of the upstreams."""
         self._service_times_by_incarnation = {
-            measurement.life: measurement for measurement in measurements
+            measurement.life: measurement
+            for measurement in measurements
+            if measurement.life in self._registrations_by_incarnation
         }
+        self._hold = hold.find_hold(
+            self._config, tuple(self._service_times_by_incarnation.values())
+        )
 
     def observe(self, observed: messages.ControlObserved) -> None:
         """Update the plan from the store unless the revision is old."""
@@ -165,7 +172,7 @@
             return range_grants.from_parent(assignment, parent)
         held_until = range_grants.latest_expiry(
             self._predecessor_until,
-            self._config.hold,
+            hold.max_hold(self._config),
             self._config.clock_rate,
         )
         return range_grants.from_predecessor(assignment, held_until)
@@ -374,14 +381,14 @@
                 + range_grants.MAX_DELIVERY_TIMEOUT_COUNT
                 * self._config.call_timeout
             ),
-            self._config.hold,
+            self._hold,
             self._config.clock_rate,
         )
         return messages.GrantRange(
             service=self._service,
             registration=registration,
             assignment=assignment,
-            hold=self._config.hold,
+            hold=self._hold,
             send_deadline=send_deadline,
             handover=grant.handover,
         )
--- a/dragonflyshelf/core/promises.py
+++ b/dragonflyshelf/core/promises.py
@@ -58,6 +58,19 @@
     )
 
 
+@LIMITS.register("grants")
+def _limit_grants(config: settings.Settings) -> settings.Settings:
+    grants = config.grants
+    return dataclasses.replace(
+        config,
+        grants=dataclasses.replace(
+            grants,
+            hold=min(grants.hold, config.promises.hold),
+            max_hold=min(grants.max_hold, config.promises.hold),
+        ),
+    )
+
+
 @LIMITS.register("leadership")
 def _limit_leadership(config: settings.Settings) -> settings.Settings:
     """Shorten the lease: its end tells the members of a relay to look."""
--- a/dragonflyshelf/core/settings.py
+++ b/dragonflyshelf/core/settings.py
@@ -196,13 +196,15 @@
 class GrantSettings:
     """Section ``grants``: grants of shard ranges to upstreams.
 
-    A grant is valid for ``hold`` seconds and is renewed every
-    ``renew_interval`` seconds. A leader that cannot reach the store
+    A grant is valid for ``hold`` seconds, for services with long work for
+    up to ``max_hold``, and is renewed every ``renew_interval`` seconds. A
+    leader that cannot reach the store
     continues to renew for ``continue_for`` seconds. ``clock_rate`` is the
     largest fraction by which an upstream's clock may run slow.
     """
 
     hold: Annotated[float, DURATION_RANGE] = 2.4
+    max_hold: Annotated[float, DURATION_RANGE] = 8.0
     renew_interval: Annotated[float, DURATION_RANGE] = 0.6
     continue_for: Annotated[float, DURATION_RANGE] = 12.0
     call_timeout: Annotated[float, DURATION_RANGE] = 0.5
@@ -217,14 +219,16 @@
     leaving upstream gets no requests ``drain`` seconds after it said so.
     A withdrawn caller key is refused after ``revoke`` seconds. An instance
     that can't reach the store is not used after ``contact`` seconds, and
-    a process is killed ``grace`` seconds after SIGTERM. Durations of other
-    sections are limited so that these hold.
+    a process is killed ``grace`` seconds after SIGTERM. Upstreams accept
+    grants of at most ``hold`` seconds. Durations of other sections are
+    limited so that these hold.
     """
 
     apply: Annotated[float, DURATION_RANGE] = 2.0
     contact: Annotated[float, DURATION_RANGE] = 3.0
     drain: Annotated[float, DURATION_RANGE] = 2.0
     grace: Annotated[float, DURATION_RANGE] = 30.0
+    hold: Annotated[float, DURATION_RANGE] = 10.0
     revoke: Annotated[float, DURATION_RANGE] = 5.0
 
     @property
--- a/tests/codec/test_settings_reference.py
+++ b/tests/codec/test_settings_reference.py
@@ -63,6 +63,7 @@
     "Bounds.ContactS": "3",
     "Bounds.DrainS": "2",
     "Bounds.GraceS": "6",
+    "Bounds.HoldMaxS": "10",
     "Bounds.RevokeS": "5",
 }
 REQUIRED_BOUNDS = [
--- a/tests/core/grantor/simulation.py
+++ b/tests/core/grantor/simulation.py
@@ -21,6 +21,7 @@
 from dragonflyshelf.core.store import messages as store
 from dragonflyshelf.core.upstreams import messages as upstream_events
 from dragonflyshelf.core.upstreams import objects as upstreams
+from dragonflyshelf.core.upstreams import service_times
 
 SERVICE = ids.ServiceName("archive")
 MAX_NETWORK_DELAY_SECONDS = 0.09
@@ -248,10 +249,25 @@
             candidate,
             upstream_events.RegistrationsChanged(registrations=registrations),
         )
+        if self.planned_stops:
+            self._deliver_service_times(candidate)
         for control_object in list(self.objects.values()):
             self.deliver(candidate, control_object)
         self.deliver(candidate, messages.ControlListed())
 
+    def _deliver_service_times(self, candidate: Candidate) -> None:
+        """Let grants be of different lengths."""
+        mean = 2.0 * self.stop_random.random()
+        sums = tuple(
+            service_times.ServiceTimeSum(
+                life=upstream.registration().incarnation,
+                seconds=mean * 10,
+                answers=10.0,
+            )
+            for upstream in self.upstreams
+        )
+        self.deliver(candidate, upstream_events.ServiceTimesChanged(sums=sums))
+
     def _execute(self, candidate: Candidate, effect: Any) -> None:
         if isinstance(effect, messages.WriteControl):
             self._send_write(candidate, effect)
