Send a request elsewhere at once if no connection was opened

Cause: an attempt without a connection counted as a retry, though nothing had arrived, and took three failures in a row at each of 195 instances until an upstream was left out.

Result: test_upstream_that_has_ended failed before (refused after the first).

--- a/dragonflyshelf/core/scheduling/coordinator.py
+++ b/dragonflyshelf/core/scheduling/coordinator.py
@@ -330,7 +330,8 @@
         delay = self._retry_policy.retry_delay(exchange, event.result, now)
         if delay is None:
             return self._refuse(exchange, event.error)
-        self.retry_budget.record_retry(exchange.service, now)
+        if event.result is not state.AttemptResult.UNREACHABLE:
+            self.retry_budget.record_retry(exchange.service, now)
         if not delay:
             return self._enqueue(exchange, now)
         return self._schedule_retry(exchange, ids.Instant(now + delay))
--- a/dragonflyshelf/core/scheduling/retries.py
+++ b/dragonflyshelf/core/scheduling/retries.py
@@ -39,7 +39,10 @@
         result: state.AttemptResult,
         now: ids.Instant,
     ) -> float | None:
-        """Return the retry delay in seconds, or None for no retry."""
+        """Return the retry delay in seconds, or None for no retry.
+
+        A request that was not sent does not count against the budget.
+        """
         if exchange.may_have_run and not exchange.is_idempotent:
             return None
         if exchange.possible_run_count >= exchange.match.route.max_attempts:
@@ -51,9 +54,13 @@
             return None
         if not self._is_replayable(exchange):
             return None
-        if not self._budget.allows_retry(exchange.service, now):
+        is_sent = result is not state.AttemptResult.UNREACHABLE
+        if is_sent and not self._budget.allows_retry(exchange.service, now):
             return None
-        if result is not state.AttemptResult.NOT_HOLDER:
+        needs_other_holder = result is state.AttemptResult.NOT_HOLDER or (
+            not is_sent and exchange.head.shard_key is not None
+        )
+        if not needs_other_holder:
             return 0.0
         if exchange.attempt_count > const.NOT_HOLDER_MAX_RETRY_COUNT:
             return None
--- a/dragonflyshelf/core/upstreams/state.py
+++ b/dragonflyshelf/core/upstreams/state.py
@@ -11,7 +11,7 @@
     """Outcome of an attempt, for the health of the upstream.
 
     An attempt is ``UNSENT`` if the upstream began to leave before the
-    request was sent.
+    request was sent, and ``UNREACHABLE`` if no connection was opened.
     """
 
     RESPONDED = "answered"
@@ -19,6 +19,7 @@
     FAILED = "failed"
     NOT_HOLDER = "not_holder"
     DECLINED = "refused"
+    UNREACHABLE = "unreachable"
     UNSENT = "unsent"
 
 
@@ -63,6 +64,9 @@
             self._record_outcome(0.0, now)
         elif result is AttemptResult.FAILED:
             self._record_outcome(1.0, now)
+        elif result is AttemptResult.UNREACHABLE:
+            self._record_outcome(1.0, now)
+            self.ejected_until = ids.Instant(now + const.EJECTION_SECONDS)
         elif result is AttemptResult.DECLINED:
             self._backoff_until = ids.Instant(
                 now + const.DECLINE_BACKOFF_SECONDS
--- a/dragonflyshelf/runtime/upstreams/pool.py
+++ b/dragonflyshelf/runtime/upstreams/pool.py
@@ -243,7 +243,7 @@
             message.error, peer=self._registration.id
         )
         self._report_failure(
-            message.attempt, state.AttemptResult.FAILED, error
+            message.attempt, state.AttemptResult.UNREACHABLE, error
         )
 
     def _report_failure(
--- a/tests/core/scheduling/test_coordinator.py
+++ b/tests/core/scheduling/test_coordinator.py
@@ -8,6 +8,7 @@
 from dragonflyshelf.core import ids
 from dragonflyshelf.core.quota import messages as quota
 from dragonflyshelf.core.scheduling import messages as scheduling
+from dragonflyshelf.core.scheduling import retries
 from dragonflyshelf.core import settings
 from dragonflyshelf.core import states
 from dragonflyshelf.core.upstreams import messages as upstream_events
@@ -400,6 +401,42 @@
         assert refusal is not None
         assert refusal.error.outcome is states.Outcome.UNKNOWN
 
+    def test_upstream_that_has_ended(self) -> None:
+        """Requests were refused within 12 ms, as the budget was used up.
+
+        No connection was opened, so nothing has arrived anywhere.
+        """
+        harness = worlds.make_harness(
+            *(worlds.upstream(f"u{number}") for number in range(4))
+        )
+        config = dataclasses.replace(
+            worlds.make_settings(),
+            retries=settings.RetrySettings(share=0.0, reserve=0.0),
+        )
+        harness.handle(settings.SettingsChanged(settings=config))
+        unreachable = errors.UpstreamUnreachable("connection refused")
+        exchange = harness.request("/order/1")
+        for _ in range(2):
+            harness.finish(exchange, Result.UNREACHABLE, error=unreachable)
+        tried = harness.sent_to(exchange)
+        assert len(set(tried)) == len(tried) == 3
+        assert harness.refusal(exchange) is None
+        assert harness.sent_to(harness.request())[0] not in tried[:2]
+
+    def test_upstreams_that_have_all_ended(self) -> None:
+        """The request is refused after some, as one that has not run."""
+        harness = worlds.make_harness(
+            *(worlds.upstream(f"u{number}") for number in range(9))
+        )
+        unreachable = errors.UpstreamUnreachable("connection refused")
+        exchange = harness.request("/order/1")
+        while harness.refusal(exchange) is None:
+            harness.finish(exchange, Result.UNREACHABLE, error=unreachable)
+        assert len(harness.sent_to(exchange)) == retries.MAX_ATTEMPT_COUNT
+        refusal = harness.refusal(exchange)
+        assert refusal is not None
+        assert refusal.error.outcome is states.Outcome.NOT_RUN
+
     def test_budget(self) -> None:
         """Retries keep to a share of the requests plus the reserve."""
         harness = worlds.make_harness(
