Send slot requests to the router directly; split placement and tests

The control task passed five kinds of slot messages on; follower and client tasks post them to the router now, and drop them if its inbox is full, so that the connection for updates and tokens is kept. A term that is no finite number ends after two minutes.

--- a/dragonflyshelf/core/scheduling/coordinator.py
+++ b/dragonflyshelf/core/scheduling/coordinator.py
@@ -20,13 +20,12 @@
 from dragonflyshelf.core.scheduling import loads
 from dragonflyshelf.core.scheduling import messages
 from dragonflyshelf.core.scheduling import retries
+from dragonflyshelf.core.scheduling import slot_placement
 from dragonflyshelf.core import settings
 from dragonflyshelf.core.slots import broker
-from dragonflyshelf.core.slots import client as slot_client
 from dragonflyshelf.core.slots import messages as slots
 from dragonflyshelf.core import states
 from dragonflyshelf.core.upstreams import messages as upstream_events
-from dragonflyshelf.core.upstreams import objects as upstreams
 from dragonflyshelf.core.upstreams import service_times
 from dragonflyshelf.core.upstreams import state
 
@@ -56,7 +55,7 @@
         self.fleet = fleet.Fleet(config.instance)
         self.dispatcher = dispatcher.RequestDispatcher(self.fleet)
         self._slot_broker = broker.SlotBroker(self.fleet)
-        self._slot_client = slot_client.SlotClient()
+        self._slot_placement = slot_placement.SlotPlacement(self.fleet)
         self._retry_policy = retries.RetryPolicy(config, self.retry_budget)
         self.shard_loads = loads.ShardLoads()
         self.service_times = service_times.ServiceTimeTally()
@@ -75,7 +74,7 @@
         if (
             self.dispatcher.has_waiting
             or self.token_queue.has_waiting
-            or self._slot_client.has_waiting
+            or self._slot_placement.client.has_waiting
         ):
             wake_time = ids.Instant(now + const.QUEUE_CHECK_INTERVAL_SECONDS)
         for heap in (self._deadline_heap, self._retry_heap):
@@ -105,35 +104,10 @@
         key = exchange.head.shard_key
         if key is not None and self.fleet.is_sharded(exchange.service):
             self.shard_loads.record_request(exchange.service, key)
-        if self._may_request_slot(exchange, now):
-            return self._request_slot(exchange, now)
+        if self._slot_placement.may_request(exchange, now):
+            return [self._slot_placement.request(exchange, now)]
         return self._enqueue(exchange, now)
 
-    def _may_request_slot(
-        self, exchange: exchanges.Exchange, now: ids.Instant
-    ) -> bool:
-        """Return whether the upstream of a request is to be assigned.
-
-        Those of a divided service follow from its key.
-        """
-        if self.fleet.is_sharded(exchange.service):
-            return False
-        return self._slot_client.may_request(now)
-
-    def _request_slot(
-        self, exchange: exchanges.Exchange, now: ids.Instant
-    ) -> Effects:
-        exchange.phase = Phase.AWAITING_SLOT
-        self._slot_client.record_request(exchange.id, now)
-        return [
-            slots.SlotRequest(
-                number=exchange.id,
-                service=exchange.service,
-                objective=exchange.match.route.latency_objective,
-                remaining=max(exchange.deadline - now, 0.0),
-            )
-        ]
-
     @HANDLERS.register(slots.SlotAssignment)
     def _on_slot_assignment(
         self, event: slots.SlotAssignment, now: ids.Instant
@@ -144,54 +118,22 @@
         """
         exchange_id = ids.ExchangeId(event.number)
         exchange = self.exchanges_by_id.get(exchange_id)
-        is_waiting = self._slot_client.remove(exchange_id)
+        is_waiting = self._slot_placement.client.remove(exchange_id)
         if exchange is None or not is_waiting:
-            return self._return_slot(event)
-        upstream = self.fleet.find_acceptable(
-            exchange.service, event.incarnation, now
-        )
-        if upstream is None:
-            exchange.is_local_full = True
-            return [*self._return_slot(event), *self._enqueue(exchange, now)]
-        exchange.has_slot = True
-        return [self._send(exchange, upstream, now)]
-
-    def _return_slot(self, event: slots.SlotAssignment) -> Effects:
-        if event.incarnation == slots.NO_UPSTREAM:
-            return []
+            return [*self._slot_placement.give_back(event)]
+        upstream = self._slot_placement.find_assigned(exchange, event, now)
+        if upstream is not None:
+            return [self._send(exchange, upstream, now)]
         return [
-            slots.SlotReport(
-                number=event.number,
-                result=state.AttemptResult.CANCELLED,
-                seconds=0.0,
-            )
-        ]
-
-    def _report_slot(
-        self,
-        exchange: exchanges.Exchange,
-        result: state.AttemptResult,
-        report: upstreams.LoadReport | None,
-        now: ids.Instant,
-    ) -> Effects:
-        """Report the end of an attempt in an assigned slot."""
-        if not exchange.has_slot:
-            return []
-        exchange.has_slot = False
-        return [
-            slots.SlotReport(
-                number=exchange.id,
-                result=result,
-                seconds=now - exchange.attempt_started_at,
-                report=report or slots.NO_REPORT,
-            )
+            *self._slot_placement.give_back(event),
+            *self._enqueue(exchange, now),
         ]
 
     @HANDLERS.register(slots.BrokerChanged)
     def _on_broker_changed(
         self, event: slots.BrokerChanged, now: ids.Instant
     ) -> Effects:
-        self._slot_client.set_available(event.is_available)
+        self._slot_placement.client.set_available(event.is_available)
         return []
 
     @HANDLERS.register(slots.SlotRequested)
@@ -310,7 +252,11 @@
             )
         exchange.upstream = None
         exchange.phase = Phase.DONE
-        effects = self._report_slot(exchange, event.result, event.report, now)
+        effects: Effects = [
+            *self._slot_placement.report(
+                exchange, event.result, event.report, now
+            )
+        ]
         if event.error is not None and not event.response_started:
             effects.extend(self._on_attempt_failed(exchange, event, now))
         return [*effects, *self._dispatch_queued(exchange.service, now)]
@@ -448,7 +394,7 @@
         if phase is Phase.AWAITING_TOKEN and exchange.workspace is not None:
             self.token_queue.cancel(exchange.id, exchange.workspace)
         if phase is Phase.AWAITING_SLOT:
-            self._slot_client.remove(exchange.id)
+            self._slot_placement.client.remove(exchange.id)
         if phase is not Phase.IN_FLIGHT or exchange.upstream is None:
             return []
         exchange.upstream.finish(
@@ -461,7 +407,7 @@
         result = state.AttemptResult.CANCELLED
         return [
             messages.CancelAttempt(exchange=exchange.id),
-            *self._report_slot(exchange, result, None, now),
+            *self._slot_placement.report(exchange, result, None, now),
         ]
 
     @HANDLERS.register(messages.TimePassed)
@@ -480,7 +426,7 @@
         effects.extend(
             self._apply_decisions(self.token_queue.resolve_overdue(now), now)
         )
-        for exchange_id in self._slot_client.remove_overdue(now):
+        for exchange_id in self._slot_placement.client.remove_overdue(now):
             effects.extend(
                 self._enqueue(self.exchanges_by_id[exchange_id], now)
             )
--- a/dragonflyshelf/core/slots/broker.py
+++ b/dragonflyshelf/core/slots/broker.py
@@ -67,9 +67,8 @@
             service=event.request.service, upstream=upstream
         )
         self._term_number += 1
-        ends_at = ids.Instant(
-            now + event.request.remaining + const.TERM_MARGIN_SECONDS
-        )
+        term = min(const.MAX_TERM_SECONDS, max(0.0, event.request.remaining))
+        ends_at = ids.Instant(now + term + const.TERM_MARGIN_SECONDS)
         heapq.heappush(self._terms, (ends_at, self._term_number, key))
 
     def _release_overdue(self, now: ids.Instant) -> None:
--- a/dragonflyshelf/core/slots/const.py
+++ b/dragonflyshelf/core/slots/const.py
@@ -8,6 +8,9 @@
 AVOIDANCE_SECONDS: Final = 1.0
 """Seconds for which a broker that has not responded is not asked."""
 
+MAX_TERM_SECONDS: Final = 120.0
+"""Longest time to a deadline that a broker believes."""
+
 TERM_MARGIN_SECONDS: Final = 1.0
 """Time after a request's deadline at which its slot is free again.
 
--- a/dragonflyshelf/runtime/gateway/control.py
+++ b/dragonflyshelf/runtime/gateway/control.py
@@ -25,7 +25,6 @@
 from dragonflyshelf.core.routing import objects as routing
 from dragonflyshelf.core.scheduling import messages as scheduling
 from dragonflyshelf.core import settings
-from dragonflyshelf.core.slots import messages as slots
 from dragonflyshelf.core import stagger
 from dragonflyshelf.core.store import messages as store
 from dragonflyshelf.core.store import replica
@@ -588,26 +587,6 @@
             self.now,
         )
 
-    @task.handles(slots.SlotRequest)
-    def _on_slot_request(self, message: slots.SlotRequest) -> None:
-        self._inboxes.relay.post(message)
-
-    @task.handles(slots.SlotReport)
-    def _on_slot_report(self, message: slots.SlotReport) -> None:
-        self._inboxes.relay.post(message)
-
-    @task.handles(slots.SlotRequested)
-    def _on_slot_requested(self, message: slots.SlotRequested) -> None:
-        self._inboxes.router.post(message)
-
-    @task.handles(slots.SlotReported)
-    def _on_slot_reported(self, message: slots.SlotReported) -> None:
-        self._inboxes.router.post(message)
-
-    @task.handles(slots.SlotAssignment)
-    def _on_slot_assignment(self, message: slots.SlotAssignment) -> None:
-        self._inboxes.router.post(message)
-
     @task.handles(relay.TokenAllocations)
     def _on_token_allocations(self, message: relay.TokenAllocations) -> None:
         self._relay_coordinator.handle_allocations(message, self.now)
--- a/dragonflyshelf/runtime/gateway/router.py
+++ b/dragonflyshelf/runtime/gateway/router.py
@@ -96,6 +96,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._timer_at = NEVER
         self.control_inbox: inbox.Inbox | None = None
+        self.relay_inbox: inbox.Inbox | None = None
 
     def next_exchange_id(self) -> ids.ExchangeId:
         """Return an exchange id that is unique in this process."""
@@ -384,16 +385,19 @@
             )
         )
 
-    @EFFECT_HANDLERS.register(slots.SlotReport)
-    @EFFECT_HANDLERS.register(slots.SlotRequest)
     @EFFECT_HANDLERS.register(quota.TokenRequest)
-    def _forward_to_control(
-        self,
-        effect: quota.TokenRequest | slots.SlotReport | slots.SlotRequest,
-    ) -> None:
+    def _request_tokens(self, effect: quota.TokenRequest) -> None:
         if self.control_inbox is not None:
             self.control_inbox.post(effect)
 
+    @EFFECT_HANDLERS.register(slots.SlotReport)
+    @EFFECT_HANDLERS.register(slots.SlotRequest)
+    def _post_to_broker(
+        self, effect: slots.SlotReport | slots.SlotRequest
+    ) -> None:
+        if self.relay_inbox is not None:
+            self.relay_inbox.post(effect)
+
     @EFFECT_HANDLERS.register(slots.AssignSlot)
     def _assign_slot(self, effect: slots.AssignSlot) -> None:
         effect.link.post(effect.assignment)
--- a/dragonflyshelf/runtime/gateway/server.py
+++ b/dragonflyshelf/runtime/gateway/server.py
@@ -63,8 +63,12 @@
     watch_task = watch.StoreWatchTask(config.store, control_task.inbox)
     write_task = write.StoreWriteTask(config.store, control_task.inbox)
     grants_task = calls.GrantCallsTask(config.grants, control_task.inbox)
-    relay_client_task = client.RelayClientTask(control_task.inbox)
-    relay_server_task = relay.RelayServerTask(control_task.inbox)
+    relay_client_task = client.RelayClientTask(
+        control_task.inbox, router_task.inbox
+    )
+    relay_server_task = relay.RelayServerTask(
+        control_task.inbox, router_task.inbox
+    )
     control_task.task_inboxes = control.TaskInboxes(
         router=router_task.inbox,
         callers=listener_task.inbox,
@@ -74,6 +78,7 @@
         relay=relay_client_task.inbox,
     )
     router_task.control_inbox = control_task.inbox
+    router_task.relay_inbox = relay_client_task.inbox
     shutdown_task = shutdown.ShutdownTask(
         config.shutdown,
         (listener_task.inbox,),
--- a/dragonflyshelf/runtime/relay/client.py
+++ b/dragonflyshelf/runtime/relay/client.py
@@ -45,10 +45,13 @@
     updates and tokens.
     """
 
-    def __init__(self, control_inbox: inbox.Inbox) -> None:
+    def __init__(
+        self, control_inbox: inbox.Inbox, router_inbox: inbox.Inbox
+    ) -> None:
         """Create a task without an update source."""
         super().__init__("relay-client")
         self._control_inbox = control_inbox
+        self._router_inbox = router_inbox
         self._address: addresses.Address | None = None
         self._decoder = frames.FrameDecoder(codec.CODEC)
         self._decompressor = compression.UpdateDecompressor()
@@ -135,10 +138,10 @@
             if isinstance(frame, relay.Update):
                 self._received_count += 1
                 self._control_inbox.post(messages.UpdateReceived(update=frame))
-            elif isinstance(
-                frame, relay.TokenAllocations | slots.SlotAssignment
-            ):
+            elif isinstance(frame, relay.TokenAllocations):
                 self._control_inbox.post(frame)
+            elif isinstance(frame, slots.SlotAssignment):
+                self._router_inbox.post(frame)
 
     def _decompress(self, frame: Any) -> Any:
         """Return a frame, without compressed objects if it is an update."""
--- a/dragonflyshelf/runtime/relay/server.py
+++ b/dragonflyshelf/runtime/relay/server.py
@@ -1,6 +1,7 @@
 """Tasks that serve the followers of this instance."""
 
 import asyncio
+import contextlib
 from typing import Final
 
 from absl import logging
@@ -28,10 +29,13 @@
 class FollowerTask(task.Task):
     """Owns the connection of a follower."""
 
-    def __init__(self, control_inbox: inbox.Inbox) -> None:
+    def __init__(
+        self, control_inbox: inbox.Inbox, router_inbox: inbox.Inbox
+    ) -> None:
         """Create the task, which receives its socket as a message."""
         super().__init__("follower")
         self._control_inbox = control_inbox
+        self._router_inbox = router_inbox
         self._decoder = frames.FrameDecoder(codec.CODEC)
         self._transport: asyncio.Transport | None = None
         self._unsent_count = 0
@@ -79,14 +83,25 @@
             )
 
         elif isinstance(request, slots.SlotRequest):
-            self._control_inbox.post(
+            self._post_to_broker(
                 slots.SlotRequested(link=self.inbox, request=request)
             )
         elif isinstance(request, slots.SlotReport):
-            self._control_inbox.post(
+            self._post_to_broker(
                 slots.SlotReported(link=self.inbox, report=request)
             )
 
+    def _post_to_broker(
+        self, event: slots.SlotReported | slots.SlotRequested
+    ) -> None:
+        """Post an event to the router, or drop it if that is overloaded.
+
+        The follower then places its request itself, and the slot is free
+        after the request's deadline.
+        """
+        with contextlib.suppress(errors.InboxFull):
+            self._router_inbox.post(event)
+
     @task.handles(relay.TokenAllocations)
     def _on_token_allocations(self, message: relay.TokenAllocations) -> None:
         if self._transport is not None:
@@ -153,10 +168,13 @@
 class RelayServerTask(task.Task):
     """Accepts the connections of followers."""
 
-    def __init__(self, control_inbox: inbox.Inbox) -> None:
+    def __init__(
+        self, control_inbox: inbox.Inbox, router_inbox: inbox.Inbox
+    ) -> None:
         """Create the task; ``async_listen`` binds its address."""
         super().__init__("relay-server")
         self._control_inbox = control_inbox
+        self._router_inbox = router_inbox
         self._server: asyncio.Server | None = None
         self.port = 0
 
@@ -167,7 +185,7 @@
         self.port = self._server.sockets[0].getsockname()[1]
 
     def _accept(self) -> asyncio.Protocol:
-        follower_task = FollowerTask(self._control_inbox)
+        follower_task = FollowerTask(self._control_inbox, self._router_inbox)
         follower_task.start()
         return sockets.SocketProtocol(follower_task.inbox)
 
--- a/tests/codec/test_relay.py
+++ b/tests/codec/test_relay.py
@@ -30,6 +30,8 @@
         assert not request.accepts_compressed
         assert not request.accepts_deltas
         assert request.received_count == messages.NOT_COUNTED
+        assert request.news == ()
+        assert not request.is_small
 
     def test_update(self) -> None:
         """Its changes follow on any revision and are not compressed."""
@@ -44,3 +46,4 @@
         assert not relayed.changes[0].compressed
         assert not relayed.changes[0].is_delta
         assert received.age == messages.UNKNOWN_AGE
+        assert not received.serves_slots
--- a/tests/core/slots/test_broker.py
+++ b/tests/core/slots/test_broker.py
@@ -76,6 +76,16 @@
         harness.advance(0.1)
         assert ask(harness, 3) == U1
 
+    @pytest.mark.parametrize("remaining", [float("inf"), float("nan"), -1e30])
+    def test_odd_deadline(self, remaining: float) -> None:
+        """A slot is free again in the end, whatever the request says."""
+        harness = worlds.make_harness(worlds.upstream("u1", slots=1))
+        assert ask(harness, 1, remaining=remaining) == U1
+        harness.now = ids.Instant(
+            harness.now + const.MAX_TERM_SECONDS + const.TERM_MARGIN_SECONDS
+        )
+        assert ask(harness, 2) == U1
+
     @pytest.mark.parametrize(
         "values",
         [
