--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -174,7 +174,7 @@
             ):
                 yield (
                     f"{request.request_id}, sent to {told.instance}"
-                    f" {delay:.2f} s after {told.upstream} had told it that"
+                    f" {delay:.2f} s after {told.upstream_name} had told it that"
                     " it leaves, arrived there"
                 )
 
@@ -193,9 +193,9 @@
             continue
         if episode.was_interrupted(told.instance, told_at, until):
             continue
-        if episode.was_link_sound(told.upstream, until):
+        if episode.was_link_sound(told.upstream_name, until):
             yield (
-                f"{arrival_count} requests reached {told.upstream} from"
+                f"{arrival_count} requests reached {told.upstream_name} from"
                 f" {told.instance}, told to wait"
                 f" {told.notice.backoff_seconds:.2f} s"
             )
--- a/bench/soak/record.py
+++ b/bench/soak/record.py
@@ -85,7 +85,7 @@
     start of the upstream afterwards, with the time of their arrival.
     """
 
-    upstream: str
+    upstream_name: str
     instance: str
     notice: upstream.Notice
     later_arrivals: tuple[tuple[ObservedRequest, float], ...]
@@ -152,7 +152,7 @@
                     continue
                 instance = told_request.instance
                 yield ToldNotice(
-                    upstream=server.name,
+                    upstream_name=server.name,
                     instance=instance,
                     notice=notice,
                     later_arrivals=tuple(
