--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -174,8 +174,8 @@
             ):
                 yield (
                     f"{request.request_id}, sent to {told.instance}"
-                    f" {delay:.2f} s after {told.upstream_name} had told it that"
-                    " it leaves, arrived there"
+                    f" {delay:.2f} s after {told.upstream_name} had told it"
+                    " that it leaves, arrived there"
                 )
 
 
