Don't let one instance's bad link take upstreams from a data centre

Cause, by reading: the relay left an upstream out at once if one member opened no connection to it, and assigned no upstream at all if all were left out so; a member with a bad link would have done that to all.

Change: to the broker such an attempt is a failure like any other, and it leaves out at most a third of its upstreams, as every instance does.

--- a/dragonflyshelf/core/scheduling/fleet.py
+++ b/dragonflyshelf/core/scheduling/fleet.py
@@ -199,7 +199,6 @@
             and upstream.has_free_slot(now)
             and now >= self.backoff_until(upstream)
             and not upstream.is_warming_up(now)
-            and not upstream.is_ejected(now)
         ]
         if not candidates:
             return None
--- a/dragonflyshelf/core/slots/broker.py
+++ b/dragonflyshelf/core/slots/broker.py
@@ -82,7 +82,11 @@
                 )
 
     def report(self, event: messages.SlotReported, now: ids.Instant) -> None:
-        """Free a slot and learn from the attempt in it."""
+        """Free a slot and learn from the attempt in it.
+
+        That one instance did not reach an upstream may be its own fault, so
+        this counts as any other failure.
+        """
         report = event.report
         held = self._held_by_key.pop((event.link, report.number), None)
         if held is None:
@@ -90,7 +94,10 @@
         load_report = None
         if report.report.slots:
             load_report = report.report
-        held.upstream.finish(report.result, report.seconds, load_report, now)
+        result = report.result
+        if result is state.AttemptResult.UNREACHABLE:
+            result = state.AttemptResult.FAILED
+        held.upstream.finish(result, report.seconds, load_report, now)
         if report.result is state.AttemptResult.RESPONDED:
             self._fleet.service_state(held.service).record_response(
                 held.upstream.registration.incarnation, report.seconds, now
--- a/tests/core/slots/test_broker.py
+++ b/tests/core/slots/test_broker.py
@@ -33,13 +33,17 @@
     return effect.assignment.incarnation
 
 
-def report(harness: worlds.SchedulerHarness, number: int) -> None:
+def report(
+    harness: worlds.SchedulerHarness,
+    number: int,
+    result: state.AttemptResult = Result.RESPONDED,
+) -> None:
     """Report the end of an attempt to a broker."""
     harness.handle(
         messages.SlotReported(
             link="i2",
             report=messages.SlotReport(
-                number=number, result=Result.RESPONDED, seconds=0.2
+                number=number, result=result, seconds=0.2
             ),
         )
     )
@@ -113,6 +117,33 @@
         assert ask(harness, 1) == messages.NO_UPSTREAM
 
 
+class TestInstanceWithABadLink:
+    """One instance that reaches no upstream does not take them from all."""
+
+    def test_unreachable_once(self) -> None:
+        """An upstream is left out only after failures in a row."""
+        harness = worlds.make_harness(
+            worlds.upstream("u1"), worlds.upstream("u2")
+        )
+        for number in range(2):
+            ask(harness, number)
+            report(harness, number, Result.UNREACHABLE)
+        assert {ask(harness, 2), ask(harness, 3)} == {
+            U1,
+            worlds.upstream("u2").incarnation,
+        }
+
+    def test_all_unreachable(self) -> None:
+        """If nearly all were left out, none is."""
+        harness = worlds.make_harness(
+            worlds.upstream("u1"), worlds.upstream("u2")
+        )
+        for number in range(12):
+            ask(harness, number)
+            report(harness, number, Result.UNREACHABLE)
+        assert ask(harness, 12) != messages.NO_UPSTREAM
+
+
 class TestClient:
     """An instance sends a request to the upstream that is assigned."""
 
