--- a/dragonflyshelf/core/relay/messages.py
+++ b/dragonflyshelf/core/relay/messages.py
@@ -39,8 +39,8 @@
     is the number of updates received on the connection of the request. An
     instance of an older build does not set it, ``accepts_compressed`` or
     ``accepts_deltas``. ``is_small`` is set if it should not be a relay, and
-    ``news`` has the lease if the follower knows a newer
-    one than the recipient has shown.
+    ``news`` has the lease if the follower knows a newer one than the
+    recipient has shown.
     """
 
     instance: ids.InstanceId
