Look only at workspaces with waiting requests at each tick

Cause: each tick of an instance, ten a second, walked the token caches of all workspaces that it has ever seen, to find those whose request to the leader has timed out. The cost grew with the workspaces; now it grows with those that have requests waiting.

--- a/dragonflyshelf/core/quota/pool.py
+++ b/dragonflyshelf/core/quota/pool.py
@@ -66,6 +66,7 @@
         self._caches_by_workspace: collections.defaultdict[
             ids.WorkspaceId, RelayTokenCache
         ] = collections.defaultdict(RelayTokenCache)
+        self._waiting_workspaces: set[ids.WorkspaceId] = set()
         self._leader_is_unresponsive = False
         self.fallback_share = fallback.FallbackShare(const.RELAY_MIN_BURST)
 
@@ -78,6 +79,7 @@
         cache.pending.append(
             PendingRequest(link=link, tokens=request.tokens, received_at=now)
         )
+        self._waiting_workspaces.add(request.workspace)
         yield from self._reply(request.workspace, cache, now)
 
     def next_request(
@@ -129,8 +131,12 @@
 
     def resolve_overdue(self, now: ids.Instant) -> abc.Iterator[Reply]:
         """Yield replies to members whose tokens the leader does not send."""
-        for workspace, cache in self._caches_by_workspace.items():
-            if cache.requested_at is None or not cache.pending:
+        for workspace in tuple(self._waiting_workspaces):
+            cache = self._caches_by_workspace[workspace]
+            if not cache.pending:
+                self._waiting_workspaces.discard(workspace)
+                continue
+            if cache.requested_at is None:
                 continue
             waited = now - cache.requested_at
             if waited >= const.RELAY_REQUEST_TIMEOUT_SECONDS:
