--- a/dragonflyshelf/core/routing/split.py
+++ b/dragonflyshelf/core/routing/split.py
@@ -2,10 +2,9 @@
 
 from typing import Final
 
-import xxhash
-
 from dragonflyshelf.core import ids
 from dragonflyshelf.core.routing import objects
+from dragonflyshelf.core import stagger
 
 MAX_START_COUNT: Final = 64
 """Number of places in the sequence of services at which instances start."""
@@ -40,10 +39,8 @@
     def _start(self, route: objects.Route) -> CreditByService:
         """Return the credit at this instance's place in the sequence."""
         credit: CreditByService = {}
-        digest = xxhash.xxh64_intdigest(
-            f"{self._instance}/{route.name}".encode()
-        )
-        for _ in range(digest % MAX_START_COUNT):
+        ratio = stagger.find_ratio(f"{self._instance}/{route.name}")
+        for _ in range(int(MAX_START_COUNT * ratio)):
             _choose_next(route, credit)
         return credit
 
--- a/dragonflyshelf/runtime/gateway/control.py
+++ b/dragonflyshelf/runtime/gateway/control.py
@@ -13,8 +13,8 @@
 
 from dragonflyshelf.codec import control
 from dragonflyshelf.core import errors
-from dragonflyshelf.core.grantor import const as grantor_const
 from dragonflyshelf.core.grantor import coordinator as grantor_coordinator
+from dragonflyshelf.core.grantor import lease as grantor_lease
 from dragonflyshelf.core.grantor import messages as grantor
 from dragonflyshelf.core.grantor import objects as grantor_objects
 from dragonflyshelf.core import ids
@@ -57,8 +57,6 @@
 TICK_INTERVAL_SECONDS: Final = 0.1
 """Interval at which leases, grants and replica ages are checked."""
 
-LEASE_OBJECT_NAME: Final = ids.ObjectName(grantor_const.LEASE_NAME)
-
 Publisher = abc.Callable[["ControlTask"], None]
 EffectHandler = abc.Callable[["ControlTask", grantor.Effect], None]
 
@@ -238,7 +236,7 @@
         """
         if kind is Kind.CONTROL:
             self._publish_control(changes)
-        if any(change.name != LEASE_OBJECT_NAME for change in changes):
+        if any(change.name != grantor_lease.LEASE_NAME for change in changes):
             if not self._unpublished_by_kind:
                 self.inbox.post(PublishChanges())
             self._unpublished_by_kind.setdefault(kind, {}).update(
@@ -296,7 +294,7 @@
                 name=change.name, revision=change.revision, value=value
             )
         )
-        if change.name == LEASE_OBJECT_NAME:
+        if change.name == grantor_lease.LEASE_NAME:
             self._leader_log.record(
                 value,
                 self._source_by_kind[Kind.CONTROL],
@@ -609,7 +607,9 @@
 
         This instance may not reach the store, or follow a former leader.
         """
-        if change.name != LEASE_OBJECT_NAME or not _is_lease(change.spec):
+        if change.name != grantor_lease.LEASE_NAME or not _is_lease(
+            change.spec
+        ):
             return
         stored = store.StoredObject(
             kind=Kind.CONTROL,
--- a/dragonflyshelf/runtime/gateway/relay_coordinator.py
+++ b/dragonflyshelf/runtime/gateway/relay_coordinator.py
@@ -11,7 +11,7 @@
 from absl import logging
 
 from dragonflyshelf.core import addresses
-from dragonflyshelf.core.grantor import const
+from dragonflyshelf.core.grantor import lease as grantor_lease
 from dragonflyshelf.core.grantor import messages as grantor
 from dragonflyshelf.core.grantor import objects as grantor_objects
 from dragonflyshelf.core import ids
@@ -32,8 +32,6 @@
 from dragonflyshelf.runtime import inbox
 from dragonflyshelf.runtime.relay import messages
 
-LEASE_NAME: Final = ids.ObjectName(const.LEASE_NAME)
-
 _LOGGER = logging.get_absl_logger()
 
 MAX_TRACKED_REQUEST_COUNT: Final = 32
@@ -202,7 +200,7 @@
         """Return the lease if the update source has not shown it."""
         stored = self._replica.by_kind(
             store.ObjectKind.CONTROL
-        ).objects_by_name.get(LEASE_NAME)
+        ).objects_by_name.get(grantor_lease.LEASE_NAME)
         if stored is None or stored.revision <= self._shown_revision:
             return ()
         return (
