Say in one line each when a response has to echo its request

Cause: the condition asked twice whether upstreams sign and whether the response is a success. It is the same truth table, signing first. Two doc strings are wrapped as their neighbours.

Conclusion: the tests of connections and late copies pass as they were.

--- a/dragonflyshelf/codec/http.py
+++ b/dragonflyshelf/codec/http.py
@@ -93,8 +93,8 @@
     ``expected_upstream`` names the only upstream that may execute the
     request. ``not_run`` marks a response to a request that was not
     executed, ``leaving`` one of an upstream that begins to leave.
-    ``signature`` is the header with the upstream's signature of
-    its response, empty if upstreams do not sign.
+    ``signature`` is the header with the upstream's signature of its
+    response, empty if upstreams do not sign.
     """
 
     caller_key: bytes = b"x-caller-key"
--- a/dragonflyshelf/core/settings.py
+++ b/dragonflyshelf/core/settings.py
@@ -198,9 +198,9 @@
 
     A grant is valid for ``hold`` seconds, for services with long work for
     up to ``max_hold``, and is renewed every ``renew_interval`` seconds. A
-    leader that cannot reach the store
-    continues to renew for ``continue_for`` seconds. ``clock_rate`` is the
-    largest fraction by which an upstream's clock may run slow.
+    leader that cannot reach the store continues to renew for
+    ``continue_for`` seconds. ``clock_rate`` is the largest fraction by
+    which an upstream's clock may run slow.
     """
 
     hold: Annotated[float, DURATION_RANGE] = 2.4
--- a/dragonflyshelf/runtime/upstreams/connection.py
+++ b/dragonflyshelf/runtime/upstreams/connection.py
@@ -423,12 +423,12 @@
         On a connection that was used before it may be a late copy of an
         earlier response. Upstreams that sign always echo the request id.
         """
-        if self.has_completed_exchange:
-            if http.is_not_run_response(self._header_names, event):
-                return True
-            return bool(self._header_names.signature)
-        is_success = event.status_code in SUCCESS_STATUSES
-        return bool(self._header_names.signature) and is_success
+        if self._header_names.signature:
+            is_success = event.status_code in SUCCESS_STATUSES
+            return self.has_completed_exchange or is_success
+        return self.has_completed_exchange and http.is_not_run_response(
+            self._header_names, event
+        )
 
     def _update_keep_alive(self, value: bytes) -> None:
         match = KEEP_ALIVE_TIMEOUT_PATTERN.search(value)
