--- a/review/support/harness.py
+++ b/review/support/harness.py
@@ -247,7 +247,7 @@
     record = Record(folder)
     try:
         is_broken = asyncio.run(async_case(record))
-    except (OSError, TimeoutError, AssertionError) as error:
+    except Exception as error:
         record.add("could not run", error=repr(error))
         sys.exit(EXIT_NOT_RUN)
     record.add("result", broken=is_broken)
