--- a/review/support/harness.py
+++ b/review/support/harness.py
@@ -7,6 +7,7 @@
 import json
 import os
 import pathlib
+import random
 import re
 import shutil
 import signal
@@ -22,6 +23,7 @@
 from dragonflyshelf.runtime import http_client
 
 HOST = "127.0.0.1"
+PORTS = range(20000, 32000)
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 EXIT_HELD = 0
 EXIT_BROKEN = 1
@@ -68,12 +70,16 @@
 
 
 def find_free_ports(count: int, host: str = HOST) -> list[int]:
-    """Return unused ports."""
+    """Return unused ports, none of those that clients' sockets get."""
+    ports: list[int] = []
     with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for bound in sockets:
-            bound.bind((host, 0))
-        return [bound.getsockname()[1] for bound in sockets]
+        while len(ports) < count:
+            port = random.choice(PORTS)
+            bound = stack.enter_context(socket.socket())
+            with contextlib.suppress(OSError):
+                bound.bind((host, port))
+                ports.append(port)
+    return ports
 
 
 def render(template: str, fields: dict[str, Any]) -> str:
