Know uploads and downloads as kinds of requests

Cause: the sheets of the two new customers name the kinds upload and download; the decoder rejected the whole configuration for them, so that no request was served on either site. Change: both are kinds of their own; a download may be executed more than once, an upload may not. Result: tests/platform and tests/core/scheduling pass; the test of the two kinds fails before the change.

--- a/dragonflyshelf/core/routing/objects.py
+++ b/dragonflyshelf/core/routing/objects.py
@@ -7,10 +7,21 @@
 
 
 class RequestKind(enum.Enum):
-    """Whether a request may be executed more than once."""
+    """Whether a request may be executed more than once, and its bodies.
 
+    An ``UPLOAD`` is a non-idempotent request with a large body, and a
+    ``DOWNLOAD`` an idempotent one with a large response.
+    """
+
+    DOWNLOAD = "download"
     IDEMPOTENT = "safe"
     NON_IDEMPOTENT = "unsafe"
+    UPLOAD = "upload"
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Return whether a request may be executed more than once."""
+        return self in (RequestKind.DOWNLOAD, RequestKind.IDEMPOTENT)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/dragonflyshelf/core/scheduling/exchanges.py
+++ b/dragonflyshelf/core/scheduling/exchanges.py
@@ -5,7 +5,6 @@
 
 from dragonflyshelf.core import ids
 from dragonflyshelf.core import messages
-from dragonflyshelf.core.routing import objects as routing
 from dragonflyshelf.core.routing import table
 from dragonflyshelf.core.scheduling import queue
 from dragonflyshelf.core.upstreams import state
@@ -65,7 +64,7 @@
     @property
     def is_idempotent(self) -> bool:
         """Return whether the request may be executed more than once."""
-        return self.match.route.kind is routing.RequestKind.IDEMPOTENT
+        return self.match.route.kind.is_idempotent
 
     @property
     def may_have_run(self) -> bool:
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import json
+from typing import Any
 
 import hypothesis
 from hypothesis import strategies
@@ -162,6 +163,25 @@
         assert workspace.key_digests == (http.digest_key(b"k"),)
         assert (workspace.rate, workspace.burst) == (1000.0, 1000.0)
 
+    @pytest.mark.parametrize(
+        ("name", "kind", "is_idempotent"),
+        [
+            ("download", routing.RequestKind.DOWNLOAD, True),
+            ("safe", routing.RequestKind.IDEMPOTENT, True),
+            ("unsafe", routing.RequestKind.NON_IDEMPOTENT, False),
+            ("upload", routing.RequestKind.UPLOAD, False),
+        ],
+    )
+    def test_kinds(
+        self, name: str, kind: routing.RequestKind, is_idempotent: bool
+    ) -> None:
+        """Each kind is decoded, and tells whether it may be repeated."""
+        spec: Any = configuration.build_configuration(1, ["k"])
+        columns = spec["Routes"]["Columns"]
+        spec["Routes"]["Rows"][0][columns.index("Kind")] = name
+        decoded = self.decode(spec).routes[0].kind
+        assert (decoded, decoded.is_idempotent) == (kind, is_idempotent)
+
     def test_caller_key_is_not_kept(self) -> None:
         """Only the digest of a caller key is kept."""
         decoded = self.decode(
