Forward no refusal that the upstream has not confirmed

Cause: 408, 429 and 503 promise a caller that its request has not run.

Change: an attempt carries whether its request is idempotent. If it is not, such a response is withheld, whatever the attempt; the caller gets a 502 of our own (DS119), the outcome is unknown, and the request is not retried. A 421 and a response that says "not run" stay what they were, and so does all that concerns idempotent requests.

--- a/dragonflyshelf/core/errors.py
+++ b/dragonflyshelf/core/errors.py
@@ -154,6 +154,11 @@
     """The upstream does not hold the shard key or is not the expected one."""
 
 
+@error_code("DS119", 502, states.Step.RECEIVE)
+class RefusalUnconfirmed(RouterError):
+    """The upstream refused, but did not say that it executed nothing."""
+
+
 @error_code("DS120", 431, states.Step.PARSE)
 class HeadTooLarge(RouterError):
     """The request head exceeds its size or header limit."""
--- a/dragonflyshelf/core/scheduling/coordinator.py
+++ b/dragonflyshelf/core/scheduling/coordinator.py
@@ -350,6 +350,7 @@
             workspace=exchange.workspace,
             deadline=exchange.deadline,
             withhold_server_errors=withhold,
+            is_idempotent=exchange.is_idempotent,
         )
 
     def _refuse(
--- a/dragonflyshelf/core/scheduling/messages.py
+++ b/dragonflyshelf/core/scheduling/messages.py
@@ -94,7 +94,9 @@
 
     With ``withhold_server_errors`` a server error of the upstream is
     reported to the scheduler and not forwarded to the caller, because
-    the request would be retried.
+    the request would be retried. Unless ``is_idempotent`` is set, a refusal
+    of the upstream is forwarded only if it says that the request was not
+    executed.
     """
 
     exchange: ids.ExchangeId
@@ -102,6 +104,7 @@
     workspace: ids.WorkspaceId | None
     deadline: ids.Instant
     withhold_server_errors: bool
+    is_idempotent: bool
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/dragonflyshelf/runtime/gateway/router.py
+++ b/dragonflyshelf/runtime/gateway/router.py
@@ -382,6 +382,7 @@
                 workspace=effect.workspace,
                 deadline=effect.deadline,
                 withhold_server_errors=effect.withhold_server_errors,
+                is_idempotent=effect.is_idempotent,
             )
         )
 
--- a/dragonflyshelf/runtime/messages.py
+++ b/dragonflyshelf/runtime/messages.py
@@ -29,7 +29,8 @@
 
     The upstream stops processing at ``deadline``. If
     ``withhold_server_errors`` is set, a server error is reported to the
-    router and not forwarded to the origin.
+    router and not forwarded to the origin. Unless ``is_idempotent`` is set,
+    so is a refusal that does not say that the request was not executed.
     """
 
     exchange: ids.ExchangeId
@@ -39,6 +40,7 @@
     workspace: ids.WorkspaceId | None
     deadline: ids.Instant
     withhold_server_errors: bool = False
+    is_idempotent: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/dragonflyshelf/runtime/upstreams/connection.py
+++ b/dragonflyshelf/runtime/upstreams/connection.py
@@ -351,7 +351,10 @@
         )
         self._update_keep_alive(values_by_name.get(b"keep-alive", b""))
         reason = withheld.find_reason(
-            self._header_names, event, attempt.withhold_server_errors
+            self._header_names,
+            event,
+            attempt.withhold_server_errors,
+            attempt.is_idempotent,
         )
         head = self._make_response_head(attempt, event)
         if reason is not None:
--- a/dragonflyshelf/runtime/upstreams/withheld.py
+++ b/dragonflyshelf/runtime/upstreams/withheld.py
@@ -31,12 +31,17 @@
     SERVER_ERROR = "failure"
     NOT_HOLDER = "not_holder"
     DECLINED = "refusal"
+    UNCONFIRMED_REFUSAL = "unconfirmed_refusal"
 
 
+NOT_RUN_REASONS: Final = frozenset({Reason.DECLINED, Reason.NOT_HOLDER})
+"""Responses with which the upstream says that nothing was executed."""
+
 RESULT_BY_REASON: Final = {
     Reason.SERVER_ERROR: state.AttemptResult.FAILED,
     Reason.NOT_HOLDER: state.AttemptResult.NOT_HOLDER,
     Reason.DECLINED: state.AttemptResult.DECLINED,
+    Reason.UNCONFIRMED_REFUSAL: state.AttemptResult.FAILED,
 }
 
 
@@ -44,12 +49,21 @@
     header_names: http.HeaderNames,
     response: h11.Response,
     withhold_server_errors: bool,
+    is_idempotent: bool,
 ) -> Reason | None:
-    """Return why a response is withheld, None if the origin gets it."""
+    """Return why a response is withheld, None if the origin gets it.
+
+    To callers the status of a refusal promises that the request was not
+    executed, so that they send it again. If it is not idempotent, they get
+    no such status on behalf of an upstream that has not said so itself.
+    """
     if http.is_not_run_response(header_names, response):
         if response.status_code == http.STATUS_MISDIRECTED:
             return Reason.NOT_HOLDER
         return Reason.DECLINED
+    is_refusal = response.status_code in http.NOT_RUN_OUTCOME_STATUSES
+    if is_refusal and not is_idempotent:
+        return Reason.UNCONFIRMED_REFUSAL
     if response.status_code < MIN_SERVER_ERROR_STATUS:
         return None
     return Reason.SERVER_ERROR if withhold_server_errors else None
@@ -93,7 +107,7 @@
     @property
     def is_not_run(self) -> bool:
         """Return whether it states that the request was not executed."""
-        return self._reason is not Reason.SERVER_ERROR
+        return self._reason in NOT_RUN_REASONS
 
     @property
     def result(self) -> state.AttemptResult:
@@ -119,6 +133,11 @@
             return errors.UpstreamServerError(
                 text, peer=upstream_id, outcome=outcome
             )
+        if self._reason is Reason.UNCONFIRMED_REFUSAL:
+            outcome = states.Outcome.UNKNOWN
+            return errors.RefusalUnconfirmed(
+                text, peer=upstream_id, outcome=outcome
+            )
         if self._reason is Reason.NOT_HOLDER:
             return errors.ShardKeyNotHeld(text, peer=upstream_id)
         return errors.UpstreamDeclined(text, peer=upstream_id)
--- a/tests/core/scheduling/test_coordinator.py
+++ b/tests/core/scheduling/test_coordinator.py
@@ -379,6 +379,21 @@
         harness.finish(exchange, Result.DECLINED, error=DECLINED)
         assert sorted(harness.sent_to(exchange)) == ["u1", "u2"]
 
+    @pytest.mark.parametrize(
+        ("path", "is_idempotent"), [("/read/1", True), ("/order/1", False)]
+    )
+    def test_what_may_run_again(self, path: str, is_idempotent: bool) -> None:
+        """An attempt says whether its request may be executed again."""
+        harness = self.make_harness_with_two_upstreams()
+        exchange = harness.request(path)
+        (sent,) = (
+            effect
+            for effect in harness.effects
+            if isinstance(effect, scheduling.SendUpstream)
+            and effect.exchange == exchange
+        )
+        assert sent.is_idempotent is is_idempotent
+
     def test_attempts_are_limited(self) -> None:
         """An idempotent request runs on at most two upstreams."""
         harness = worlds.make_harness(
--- a/tests/runtime/upstreams/test_connection.py
+++ b/tests/runtime/upstreams/test_connection.py
@@ -92,7 +92,7 @@
     pool: inbox.Inbox
     router: inbox.Inbox
 
-    def start(self, **values: Any) -> None:
+    def start(self, is_idempotent: bool = True, **values: Any) -> None:
         """Start an exchange on the connection."""
         loop = asyncio.get_running_loop()
         head = messages.RequestHead(
@@ -112,6 +112,7 @@
                 registration=REGISTRATION,
                 workspace=ids.WorkspaceId("one"),
                 deadline=head.deadline,
+                is_idempotent=is_idempotent,
             )
         )
 
@@ -329,6 +330,54 @@
         asyncio.run(async_run())
 
 
+class TestUnconfirmedRefusal:
+    """A status that promises 'not run', without the upstream's word.
+
+    Callers send a request that is not idempotent again after it. Reported:
+    an order that had run was answered 503, and was placed twice (REFUSED).
+    """
+
+    async def async_refuse(
+        self, status: int, is_idempotent: bool
+    ) -> tuple[runtime_messages.AttemptEnded, list[Any]]:
+        """Return the end of an attempt, and what its origin received."""
+        async with async_run_harness() as harness:
+            harness.start(is_idempotent=is_idempotent)
+            await harness.async_wait_attached()
+            harness.writer.write(
+                b"HTTP/1.1 %d x\r\nContent-Length: 6\r\n\r\nfailed" % status
+            )
+            ended = await harness.async_attempt_ended()
+            return ended, harness.origin_messages()
+
+    @pytest.mark.parametrize("status", [408, 429, 503])
+    def test_non_idempotent_request(self, status: int) -> None:
+        """The caller is not told that the request has not run."""
+        ended, parts = asyncio.run(self.async_refuse(status, False))
+        assert not parts
+        assert not ended.response_started
+        assert not ended.withheld_response
+        assert ended.result is state.AttemptResult.FAILED
+        assert ended.error is not None
+        assert ended.error.status == http.STATUS_BAD_GATEWAY
+        assert ended.error.outcome is states.Outcome.UNKNOWN
+
+    @pytest.mark.parametrize("status", [408, 429, 503])
+    def test_idempotent_request(self, status: int) -> None:
+        """The upstream's own response is forwarded."""
+        ended, parts = asyncio.run(self.async_refuse(status, True))
+        assert ended.error is None
+        assert isinstance(parts[0], messages.ResponseHead)
+        assert parts[0].status == status
+
+    def test_not_holder(self) -> None:
+        """A 421 needs no further word: it never follows a run."""
+        ended, parts = asyncio.run(self.async_refuse(421, False))
+        assert not parts
+        assert ended.error is not None
+        assert ended.error.outcome is states.Outcome.NOT_RUN
+
+
 class TestBytesWithoutEnd:
     """An upstream that sends bytes without end until it is cut off.
 
--- a/tests/runtime/upstreams/test_withheld.py
+++ b/tests/runtime/upstreams/test_withheld.py
@@ -14,14 +14,20 @@
 
 
 def find_reason(
-    status: int, *names: bytes, withhold_server_errors: bool = True
+    status: int,
+    *names: bytes,
+    withhold_server_errors: bool = True,
+    is_idempotent: bool = True,
 ) -> withheld.Reason | None:
     """Return why a response with some headers is withheld."""
     response = h11.Response(
         status_code=status, headers=[(name, b"1") for name in names]
     )
     return withheld.find_reason(
-        http.DEFAULT_HEADER_NAMES, response, withhold_server_errors
+        http.DEFAULT_HEADER_NAMES,
+        response,
+        withhold_server_errors,
+        is_idempotent,
     )
 
 
@@ -39,6 +45,27 @@
         assert find_reason(500, withhold_server_errors=False) is None
         assert find_reason(404) is None
 
+    @pytest.mark.parametrize("status", [408, 429, 503])
+    def test_unconfirmed_refusal(self, status: int) -> None:
+        """Its status promises what its upstream has not said.
+
+        An idempotent request may be executed again, so its caller gets it.
+        """
+        forwarded = find_reason(status, withhold_server_errors=False)
+        assert forwarded is None
+        reason = find_reason(
+            status, withhold_server_errors=False, is_idempotent=False
+        )
+        assert reason is withheld.Reason.UNCONFIRMED_REFUSAL
+
+    @pytest.mark.parametrize("status", [200, 404, 500, 502, 504])
+    def test_status_without_promise(self, status: int) -> None:
+        """It is forwarded, whatever the request."""
+        reason = find_reason(
+            status, withhold_server_errors=False, is_idempotent=False
+        )
+        assert reason is None
+
 
 class TestWithheldResponse:
     """Outcome and limits of a response that is withheld."""
@@ -61,6 +88,11 @@
                 state.AttemptResult.FAILED,
                 states.Outcome.UNKNOWN,
             ),
+            (
+                withheld.Reason.UNCONFIRMED_REFUSAL,
+                state.AttemptResult.FAILED,
+                states.Outcome.UNKNOWN,
+            ),
         ],
     )
     def test_outcome(
