Keep the last valid configuration, and don't confirm it by others

Cause: an object that could not be decoded was dropped with the last valid one, so one odd word left an instance without a configuration. The replica's confirmation went on, so the router trusted caller keys that the unread version may have withdrawn. An older version at a newer revision reached the limits and the leader's services, though not the routes. Change: the last valid version of the configuration stays, also after its object is removed; versions must increase. While the newest version is not in force, the one in force is not confirmed: keys are refused after freshness.longest_age, and the instance is not ready after freshness.ready_age. core/configuration decides; a gauge counts the invalid objects of each kind.

--- a/dragonflyshelf/core/errors.py
+++ b/dragonflyshelf/core/errors.py
@@ -198,6 +198,20 @@
 class InvalidObject(RouterError):
     """An object in the store cannot be decoded."""
 
+    def __init__(
+        self,
+        message: str,
+        *,
+        version: str = "",
+        place: str = "",
+        value: str = "",
+    ) -> None:
+        """Create an error about a field; what is empty is not known."""
+        super().__init__(message)
+        self.version = version
+        self.place = place
+        self.value = value
+
 
 @error_code("DS310", 500, states.Step.SETTINGS)
 class BindFailed(RouterError):
--- a/dragonflyshelf/runtime/gateway/control.py
+++ b/dragonflyshelf/runtime/gateway/control.py
@@ -12,6 +12,7 @@
 from absl import logging
 
 from dragonflyshelf.codec import control
+from dragonflyshelf.core.configuration import readiness
 from dragonflyshelf.core import errors
 from dragonflyshelf.core.grantor import coordinator as grantor_coordinator
 from dragonflyshelf.core.grantor import lease as grantor_lease
@@ -114,6 +115,7 @@
             stagger.find_ratio(config.instance.name),
         )
         self._watched_kinds: abc.Set[Kind] = watch_selector.NO_KINDS
+        self._in_force_confirmed_at = replica.DISTANT_PAST
         self._instances: tuple[ids.InstanceId, ...] = ()
         self._next_request_at = ids.Instant(0.0)
         self._next_measurement_at = ids.Instant(0.0)
@@ -146,9 +148,21 @@
     @property
     def is_ready(self) -> bool:
         """Return whether the load balancer may send requests here."""
+        return self.readiness.is_ready
+
+    @property
+    def readiness(self) -> readiness.Readiness:
+        """Return whether the instance is ready, and why it is not."""
         configurations = self._decoded_objects.values(Kind.CONFIGURATION)
-        is_fresh = self.configuration_age <= self._config.freshness.ready_age
-        return bool(configurations) and is_fresh and not self.is_draining
+        return readiness.assess(
+            readiness.ConfigurationStatus(
+                version=configurations[0].version if configurations else None,
+                age=self.now - self._in_force_confirmed_at,
+                fault=self._decoded_objects.configuration_fault,
+            ),
+            self._config.freshness.ready_age,
+            self.is_draining,
+        )
 
     @property
     def is_leading(self) -> bool:
@@ -259,19 +273,31 @@
         for kind, changes_by_name in unpublished_by_kind.items():
             if kind is Kind.CONTROL:
                 continue
-            for change in changes_by_name.values():
+            may_publish = [
                 self._decoded_objects.apply(change)
-            PUBLISHERS.get(kind)(self)
+                for change in changes_by_name.values()
+            ]
+            diagnostics.record_faults(
+                kind, self._decoded_objects.fault_count(kind)
+            )
+            if any(may_publish):
+                PUBLISHERS.get(kind)(self)
             self._confirm(kind)
 
     def _confirm(self, kind: Kind) -> None:
-        """Publish when the configuration was confirmed, if it is in force."""
+        """Publish when the configuration was confirmed, if it is in force.
+
+        One that can't be read doesn't confirm the one in force: it may have
+        withdrawn a key.
+        """
         if kind is not Kind.CONFIGURATION:
             return
-        kind_replica = self._replica.by_kind(kind)
+        if self._decoded_objects.configuration_fault is not None:
+            return
+        self._in_force_confirmed_at = self._replica.by_kind(kind).confirmed_at
         self._inboxes.router.post(
             scheduling.ConfigurationConfirmed(
-                confirmed_at=kind_replica.confirmed_at
+                confirmed_at=self._in_force_confirmed_at
             )
         )
 
--- a/dragonflyshelf/runtime/gateway/decoding.py
+++ b/dragonflyshelf/runtime/gateway/decoding.py
@@ -6,6 +6,8 @@
 from absl import logging
 
 from dragonflyshelf.codec import control
+from dragonflyshelf.core.configuration import faults
+from dragonflyshelf.core.configuration import succession
 from dragonflyshelf.core import errors
 from dragonflyshelf.core import ids
 from dragonflyshelf.core import registry
@@ -50,32 +52,94 @@
     return objects.decode_registration(stored)
 
 
+SuccessorCheck = abc.Callable[[Any, Any], None]
+
+SUCCESSOR_CHECKS: Final[
+    registry.Registry[store.ObjectKind, SuccessorCheck]
+] = registry.Registry("checks of the successor of a value")
+"""Kinds of which the last valid value stays, with what may follow it."""
+
+
+@SUCCESSOR_CHECKS.register(store.ObjectKind.CONFIGURATION)
+def check_configuration(current: Any, newer: Any) -> None:
+    """Check that versions of the configuration increase."""
+    succession.check_successor(current, newer)
+
+
 class DecodedObjects:
-    """Decoded values by kind and name."""
+    """Decoded values by kind and name, and the faults of invalid objects.
+
+    An invalid object has no value, or its last valid one if its kind is
+    in ``SUCCESSOR_CHECKS``; so has one that was removed.
+    """
 
     def __init__(self) -> None:
         """Create an empty collection."""
         self._values_by_kind: dict[
             store.ObjectKind, dict[ids.ObjectName, Any]
         ] = {kind: {} for kind in store.ObjectKind}
+        self._faults_by_kind: dict[
+            store.ObjectKind, dict[ids.ObjectName, faults.ObjectFault]
+        ] = {kind: {} for kind in store.ObjectKind}
+
+    @property
+    def configuration_fault(self) -> faults.ObjectFault | None:
+        """Return why the newest configuration is not in force, if it isn't."""
+        return self._faults_by_kind[store.ObjectKind.CONFIGURATION].get(
+            ids.ObjectName(names.MAIN_CONFIGURATION_NAME)
+        )
 
     def values(self, kind: store.ObjectKind) -> tuple[Any, ...]:
-        """Return the values of a kind, without objects that are invalid."""
+        """Return the values of a kind."""
         return tuple(self._values_by_kind[kind].values())
 
     def get(self, kind: store.ObjectKind, name: ids.ObjectName) -> Any:
-        """Return the value of an object, None if missing or invalid."""
+        """Return the value of an object, None if it has none."""
         return self._values_by_kind[kind].get(name)
 
-    def apply(self, change: store.Change) -> None:
-        """Apply a change; an object that cannot be decoded is ignored."""
+    def fault_count(self, kind: store.ObjectKind) -> int:
+        """Return the number of invalid objects of a kind."""
+        return len(self._faults_by_kind[kind])
+
+    def apply(self, change: store.Change) -> bool:
+        """Apply a change; return whether it may have changed a value."""
         values = self._values_by_kind[change.kind]
-        values.pop(change.name, None)
-        if isinstance(change, store.ObjectRemoved):
-            return
+        keeps_last_value = (
+            change.kind in SUCCESSOR_CHECKS and change.name in values
+        )
+        if isinstance(change, store.ObjectRemoved) and not keeps_last_value:
+            values.pop(change.name, None)
+            self._faults_by_kind[change.kind].pop(change.name, None)
+            return True
         try:
-            values[change.name] = DECODERS.get(change.kind)(change)
+            values[change.name] = self._decode(change)
         except errors.InvalidObject as error:
+            self._record_fault(faults.find_fault(change, error))
+            if not keeps_last_value:
+                values.pop(change.name, None)
+            return not keeps_last_value
+        self._faults_by_kind[change.kind].pop(change.name, None)
+        return True
+
+    def _decode(self, change: store.Change) -> Any:
+        """Return the value of an object that may follow the present one.
+
+        Raises ``InvalidObject`` if there is none.
+        """
+        if isinstance(change, store.ObjectRemoved):
+            raise errors.InvalidObject("was removed")
+        value = DECODERS.get(change.kind)(change)
+        if change.kind in SUCCESSOR_CHECKS:
+            current = self._values_by_kind[change.kind].get(change.name)
+            SUCCESSOR_CHECKS.get(change.kind)(current, value)
+        return value
+
+    def _record_fault(self, fault: faults.ObjectFault) -> None:
+        """Record a fault, and log it unless the object had it before."""
+        faults_by_name = self._faults_by_kind[fault.kind]
+        former = faults_by_name.get(fault.name)
+        faults_by_name[fault.name] = fault
+        if not fault.is_same_cause(former):
             _LOGGER.warning(
-                "ignoring invalid object %s: %s", change.name, error.message
+                "%s object is invalid: %s", fault.kind.value, fault
             )
--- a/dragonflyshelf/runtime/gateway/diagnostics.py
+++ b/dragonflyshelf/runtime/gateway/diagnostics.py
@@ -15,6 +15,7 @@
 from dragonflyshelf.core.grantor import objects as grantor
 from dragonflyshelf.core import ids
 from dragonflyshelf.core.routing import objects as routing
+from dragonflyshelf.core.store import messages as store
 from dragonflyshelf.core.upstreams import objects as upstreams
 
 _LOGGER = logging.get_absl_logger()
@@ -41,6 +42,11 @@
     "Time since the replica of a kind was confirmed by the store",
     ("kind",),
 )
+INVALID_OBJECTS: Final = prometheus_client.Gauge(
+    "dragonflyshelf_invalid_objects",
+    "Objects of a kind whose newest version is invalid and not in force",
+    ("kind",),
+)
 
 
 class Source(enum.Enum):
@@ -51,6 +57,11 @@
     UPDATE = "update"
 
 
+def record_faults(kind: store.ObjectKind, count: int) -> None:
+    """Record the number of invalid objects of a kind."""
+    INVALID_OBJECTS.labels(kind.value).set(count)
+
+
 def log_plan(plan: grantor.ShardPlan) -> None:
     """Log the ranges that a plan moves, in one line."""
     moves = [
--- /dev/null
+++ b/tests/core/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the configuration in the core."""
