Say why a configuration is not in force

Cause: one log line named neither version, field nor value of a version that could not be decoded, and the ready path, explain and metrics said nothing. Change: the decoder names the place of a fault and what it holds, no text below Tenants, as it may be a key. The ready path has the state, its reasons and the fault as body; explain shows a fault however old it is, until a later version is in force; a cause is logged once, not at each revision.

--- a/dragonflyshelf/core/timeline/explanation.py
+++ b/dragonflyshelf/core/timeline/explanation.py
@@ -2,15 +2,24 @@
 
 The lines that carry the request's id show its path. The latest state
 changes that its instances logged before its end show on which state
-they decided: configuration, shard plan, leadership, store, settings.
+they decided: configuration, shard plan, leadership, store, settings. A
+version of the configuration that is not used is shown however old it is.
 """
 
 from collections import abc
 import dataclasses
 from typing import Final
 
+CONFIGURATION_PREFIX: Final = "configuration "
+INVALID_CONFIGURATION_PREFIX: Final = "configuration object is invalid"
+"""Beginning of the line about a version that is not used.
+
+It lasts until a later line with ``CONFIGURATION_PREFIX``.
+"""
+
 STATE_CHANGE_PREFIXES: Final = (
-    "configuration ",
+    INVALID_CONFIGURATION_PREFIX,
+    CONFIGURATION_PREFIX,
     "control task was late",
     "evacuated data centres",
     "leader is ",
@@ -73,11 +82,20 @@
         return ()
     end = request_lines[-1].time
     instances = {line.instance for line in request_lines}
-    state_changes = _latest_state_changes(
+    lines_before = [
         line
         for line in ordered
-        if line.instance in instances
-        and end - STATE_CHANGE_WINDOW_SECONDS <= line.time <= end
+        if line.instance in instances and line.time <= end
+    ]
+    state_changes = _latest_state_changes(
+        line
+        for line in lines_before
+        if line.time >= end - STATE_CHANGE_WINDOW_SECONDS
+    )
+    state_changes.extend(
+        line
+        for line in _lasting_faults(lines_before)
+        if line not in state_changes
     )
     explaining = sorted(
         [*request_lines, *state_changes], key=lambda line: line.time
@@ -109,6 +127,17 @@
     return list(latest_by_kind.values())
 
 
+def _lasting_faults(lines: abc.Iterable[LogLine]) -> list[LogLine]:
+    """Return the line of each instance's fault that has not ended."""
+    fault_by_instance: dict[str, LogLine] = {}
+    for line in lines:
+        if line.event.startswith(INVALID_CONFIGURATION_PREFIX):
+            fault_by_instance[line.instance] = line
+        elif line.event.startswith(CONFIGURATION_PREFIX):
+            fault_by_instance.pop(line.instance, None)
+    return list(fault_by_instance.values())
+
+
 def find_deciding_line(
     explained: abc.Sequence[ExplainedLine],
 ) -> LogLine | None:
--- a/dragonflyshelf/platform/objects.py
+++ b/dragonflyshelf/platform/objects.py
@@ -3,8 +3,9 @@
 The fields of records are encoded by name in the platform's format.
 """
 
+from collections import abc
 import ipaddress
-from typing import Annotated, Any
+from typing import Annotated, Any, TypeVar
 
 import msgspec
 
@@ -14,6 +15,9 @@
 from dragonflyshelf.core.routing import objects as routing
 from dragonflyshelf.core.store import messages as store
 from dragonflyshelf.core.upstreams import objects as upstreams
+from dragonflyshelf.platform import violations
+
+R = TypeVar("R")
 
 STATE_READY = "ready"
 STATE_DRAINING = "draining"
@@ -72,7 +76,7 @@
     name: str
     host: str
     path_prefix: str
-    kind: str
+    kind: routing.RequestKind
     timeout_s: float
     max_attempts: int
     slo_latency_s: float = 1.0
@@ -147,28 +151,69 @@
 def decode_configuration(spec: bytes) -> routing.Configuration:
     """Return the operator's configuration.
 
-    Raises ``InvalidObject`` if it cannot be decoded.
+    Raises ``InvalidObject``, with the field at fault, if it is invalid.
     """
     try:
-        record = msgspec.json.decode(spec, type=ConfigurationRecord)
-        return routing.Configuration(
-            version=_parse_version(record.version),
-            routes=tuple(
-                _to_route(msgspec.convert(row, RouteRecord))
-                for row in record.routes.records()
-            ),
-            services=tuple(
-                _to_service(msgspec.convert(row, ServiceRecord))
-                for row in record.services.records()
-            ),
-            workspaces=tuple(
-                _to_workspace(msgspec.convert(row, WorkspaceRecord))
-                for row in record.tenants.records()
-            ),
-            limits=_to_limits(record.limits),
-        )
+        return _to_configuration(_decode_record(spec))
+    except violations.FieldViolation as error:
+        raise errors.InvalidObject(
+            error.reason,
+            version=_find_version(spec),
+            place=error.place,
+            value=error.value,
+        ) from error
     except DECODING_ERRORS as error:
-        raise errors.InvalidObject(f"configuration: {error}") from error
+        raise errors.InvalidObject(f"can't be decoded: {error}") from error
+
+
+def _decode_record(spec: bytes) -> ConfigurationRecord:
+    try:
+        return msgspec.json.decode(spec, type=ConfigurationRecord)
+    except msgspec.ValidationError as error:
+        raise violations.locate(error, msgspec.json.decode(spec), "") from None
+
+
+def _to_configuration(record: ConfigurationRecord) -> routing.Configuration:
+    return routing.Configuration(
+        version=_parse_version(record.version),
+        routes=tuple(
+            _to_route(row)
+            for row in _convert_rows("Routes", record.routes, RouteRecord)
+        ),
+        services=tuple(
+            _to_service(row)
+            for row in _convert_rows(
+                "Services", record.services, ServiceRecord
+            )
+        ),
+        workspaces=tuple(
+            _to_workspace(row)
+            for row in _convert_rows(
+                "Tenants", record.tenants, WorkspaceRecord
+            )
+        ),
+        limits=_to_limits(record.limits),
+    )
+
+
+def _convert_rows(
+    name: str, table: Table, record_type: type[R]
+) -> abc.Iterator[R]:
+    """Yield the rows of a table as records of a type."""
+    for number, row in enumerate(table.records()):
+        try:
+            yield msgspec.convert(row, record_type)
+        except msgspec.ValidationError as error:
+            place = f"{name}.Rows[{number}]"
+            raise violations.locate(error, row, place) from None
+
+
+def _find_version(spec: bytes) -> str:
+    """Return the version of an invalid configuration, if it can be read."""
+    version = msgspec.json.decode(spec)
+    if isinstance(version, dict):
+        version = version.get("Version")
+    return version if isinstance(version, str) else ""
 
 
 def decode_registration(stored: store.StoredObject) -> upstreams.Registration:
@@ -209,7 +254,12 @@
 
 
 def _parse_version(text: str) -> ids.ConfigurationVersion:
-    return ids.ConfigurationVersion(int(text.removeprefix(VERSION_PREFIX)))
+    number = text.removeprefix(VERSION_PREFIX)
+    if not number.isascii() or not number.isdecimal():
+        raise violations.FieldViolation(
+            "is not a version", "Version", violations.show(text, "Version")
+        )
+    return ids.ConfigurationVersion(int(number))
 
 
 def _to_route(record: RouteRecord) -> routing.Route:
@@ -220,7 +270,7 @@
         name=ids.RouteName(record.name),
         host=record.host.lower(),
         path_prefix=record.path_prefix,
-        kind=routing.RequestKind(record.kind),
+        kind=record.kind,
         timeout=record.timeout_s,
         latency_objective=record.slo_latency_s,
         priority=record.priority,
--- a/dragonflyshelf/runtime/gateway/health.py
+++ b/dragonflyshelf/runtime/gateway/health.py
@@ -4,9 +4,11 @@
 
 import prometheus_client
 
+from dragonflyshelf.core.configuration import readiness
 from dragonflyshelf.platform import names
 from dragonflyshelf.runtime import http_server
 
+CONTENT_TYPE_TEXT = "text/plain; charset=utf-8"
 PATH_METRICS = "/metrics"
 STATUS_OK = 200
 STATUS_NOT_FOUND = 404
@@ -16,9 +18,11 @@
 class HealthListener:
     """Serves the readiness and the metrics of this instance."""
 
-    def __init__(self, is_ready: abc.Callable[[], bool]) -> None:
+    def __init__(
+        self, assess_readiness: abc.Callable[[], readiness.Readiness]
+    ) -> None:
         """Create the listener; ``async_listen`` binds its ports."""
-        self._is_ready = is_ready
+        self._assess_readiness = assess_readiness
         self._servers: list[http_server.HttpServer] = []
 
     async def async_listen(self, host: str, *ports: int) -> None:
@@ -37,8 +41,12 @@
         self, request: http_server.ServerRequest
     ) -> http_server.ServerResponse:
         if request.path == names.PATH_READY:
-            status = STATUS_OK if self._is_ready() else STATUS_NOT_READY
-            return http_server.ServerResponse(status=status)
+            state = self._assess_readiness()
+            return http_server.ServerResponse(
+                status=STATUS_OK if state.is_ready else STATUS_NOT_READY,
+                body=str(state).encode(),
+                content_type=CONTENT_TYPE_TEXT,
+            )
         if request.path == PATH_METRICS:
             return http_server.ServerResponse(
                 status=STATUS_OK,
--- a/dragonflyshelf/runtime/gateway/server.py
+++ b/dragonflyshelf/runtime/gateway/server.py
@@ -88,7 +88,7 @@
             requests=router_task.exchange_count,
         ),
     )
-    health_listener = health.HealthListener(lambda: control_task.is_ready)
+    health_listener = health.HealthListener(lambda: control_task.readiness)
     async with contextlib.AsyncExitStack() as stack:
         stack.callback(health_listener.close)
         ready_ports = [ready_address.port]
--- a/tests/core/timeline/test_explanation.py
+++ b/tests/core/timeline/test_explanation.py
@@ -70,6 +70,42 @@
         )
 
 
+class TestInvalidConfiguration:
+    """A configuration that could not be read was explained by nothing."""
+
+    FAULT = "configuration object is invalid: main r7 at revision 42"
+
+    def explain_events(self, *lines: explanation.LogLine) -> list[str]:
+        """Return the events that explain a request that ended at 90 s."""
+        end = make_line(90.0, "request ended", request_id="r1", code="DS114")
+        return [
+            entry.line.event
+            for entry in explanation.explain((*lines, end), "r1")
+        ]
+
+    def test_old_fault(self) -> None:
+        """It is shown however long before the request it was found."""
+        assert self.explain_events(
+            make_line(1.0, "configuration 6 in force"),
+            make_line(2.0, self.FAULT),
+            make_line(3.0, self.FAULT, instance="i2"),
+        ) == [self.FAULT, "request ended"]
+
+    def test_recent_fault(self) -> None:
+        """It is shown once, after the version in force."""
+        assert self.explain_events(
+            make_line(85.0, "configuration 6 in force"),
+            make_line(86.0, self.FAULT),
+        ) == ["configuration 6 in force", self.FAULT, "request ended"]
+
+    def test_fault_that_has_ended(self) -> None:
+        """It is not shown once a later version is in force."""
+        assert self.explain_events(
+            make_line(1.0, self.FAULT),
+            make_line(2.0, "configuration 8 in force"),
+        ) == ["request ended"]
+
+
 class TestLogLines:
     """Decoding of log lines collected from many instances."""
 
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -231,6 +231,42 @@
         with pytest.raises(errors.InvalidObject):
             self.decode({**spec, "Version": version})
 
+    @pytest.mark.parametrize(
+        ("table", "column", "value", "place", "shown"),
+        [
+            ("Routes", "Kind", "odd", "Routes.Rows[0].Kind", "'odd'"),
+            ("Routes", "TimeoutS", "2 s", "Routes.Rows[0].TimeoutS", "'2 s'"),
+            ("Services", "Sharded", 1, "Services.Rows[0].Sharded", "1"),
+            (
+                "Tenants",
+                "RatePerS",
+                "a-caller-key",
+                "Tenants.Rows[0].RatePerS",
+                "not shown",
+            ),
+            (
+                "Tenants",
+                "ApiKeys",
+                ["a-caller-key", 7],
+                "Tenants.Rows[0].ApiKeys[1]",
+                "7",
+            ),
+        ],
+    )
+    def test_place_of_a_fault(
+        self, table: str, column: str, value: object, place: str, shown: str
+    ) -> None:
+        """The error names version, field and value, but no caller key."""
+        spec: Any = configuration.build_configuration(9, ["k"])
+        index = spec[table]["Columns"].index(column)
+        spec[table]["Rows"][0][index] = value
+        with pytest.raises(errors.InvalidObject) as raised:
+            self.decode(spec)
+        error = raised.value
+        assert (error.version, error.place) == ("r9", place)
+        assert error.value == shown
+        assert "a-caller-key" not in str(error) + error.value
+
     @hypothesis.given(JSON)
     def test_any_value(self, spec: object) -> None:
         """A value that is not a configuration raises a coded error."""
--- a/tests/runtime/gateway/test_invalid_configuration.py
+++ b/tests/runtime/gateway/test_invalid_configuration.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import abc
 import dataclasses
+import re
 
 import msgspec
 import pytest
@@ -234,3 +235,30 @@
                 assert task.is_ready
 
         asyncio.run(async_check())
+
+
+class TestLogLine:
+    """A version that is not used is logged once, with the reason."""
+
+    def test_one_line(self, caplog: pytest.LogCaptureFixture) -> None:
+        """It names the object, its version, the field and the value."""
+
+        async def async_check() -> None:
+            async with test_control.async_run_control() as task:
+                spec = encode_version(2, "odd")
+                await async_post(
+                    task,
+                    make_change(1, encode_version(1), task.now),
+                    make_change(2, spec, task.now),
+                    make_change(3, spec, task.now),
+                )
+
+        asyncio.run(async_check())
+        lines = [
+            record.getMessage()
+            for record in caplog.records
+            if "invalid" in record.getMessage()
+        ]
+        assert len(lines) == 1
+        for part in ("main", "r2", "Routes", "Kind", "'odd'"):
+            assert re.search(rf"(?<!\w){re.escape(part)}", lines[0]), part
--- a/tests/runtime/test_gateway.py
+++ b/tests/runtime/test_gateway.py
@@ -6,10 +6,13 @@
 import time
 import typing
 
+from dragonflyshelf.core import errors
 from dragonflyshelf.core import ids
 from dragonflyshelf.core.scheduling import exchanges
+from dragonflyshelf.core import settings
 from dragonflyshelf.core.upstreams import state
 from dragonflyshelf.runtime.gateway import server
+from stand_ins import configuration
 from stand_ins import store
 from stand_ins import upstream
 from tests.runtime import deployment as deployments
@@ -144,6 +147,36 @@
 
         asyncio.run(async_check())
 
+    def test_invalid_configuration(self) -> None:
+        """A key that an unread version may have withdrawn is refused.
+
+        It works until the version in force has not been confirmed for
+        ``freshness.longest_age``; the ready path then says why.
+        """
+
+        async def async_check() -> None:
+            async with async_run_ready_deployment(1) as deployment:
+                spec = configuration.build_configuration(2, ["another"])
+                spec["Limits"] = {"MaxBodyBytes": "odd"}
+                deployment.store.objects.replace("config", "main", spec, None)
+                deployment.store.notify_watches()
+                await asyncio.sleep(0.5)
+                response = await deployment.async_call("/read/1")
+                assert response.status == 200
+                await asyncio.sleep(settings.FreshnessSettings().longest_age)
+                response = await deployment.async_call("/read/2")
+                assert response.status == 503
+                assert errors.StaleInstance.code.encode() in response.body
+                readiness = str(deployment.servers[0].control.readiness)
+                assert readiness.startswith("not ready\n")
+                assert "Limits.MaxBodyBytes" in readiness
+                deployment.store_configuration(3, [deployments.CALLER_KEY])
+                await asyncio.sleep(0.5)
+                response = await deployment.async_call("/read/3")
+                assert response.status == 200
+
+        asyncio.run(async_check())
+
 
 class TestLeadership:
     """Leader election, and updates through the leader."""
