Let nobody in when the last workspace is withdrawn

Cause: RouteTable checked caller keys only if there were workspaces, and the decoder took Tenants without a row for no Tenants, so that withdrawing the last workspace opened every route. Change: a configuration says whether it is open or private, private unless told otherwise. Without Tenants it is open, with any it is private; public routes stay open.

--- a/dragonflyshelf/core/routing/objects.py
+++ b/dragonflyshelf/core/routing/objects.py
@@ -4,6 +4,7 @@
 import enum
 
 from dragonflyshelf.core import ids
+from dragonflyshelf.core import states
 
 
 class RequestKind(enum.Enum):
@@ -99,10 +100,15 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Configuration:
-    """One version of the operator's configuration."""
+    """One version of the operator's configuration.
+
+    With ``PRIVATE`` access a request needs the caller key of a workspace,
+    except on public routes; without any workspace nobody has one.
+    """
 
     version: ids.ConfigurationVersion
     routes: tuple[Route, ...]
     services: tuple[Service, ...]
     workspaces: tuple[Workspace, ...]
     limits: Limits
+    access: states.Access = states.Access.PRIVATE
--- a/dragonflyshelf/core/routing/table.py
+++ b/dragonflyshelf/core/routing/table.py
@@ -5,6 +5,7 @@
 from dragonflyshelf.core import errors
 from dragonflyshelf.core import ids
 from dragonflyshelf.core.routing import objects
+from dragonflyshelf.core import states
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -60,7 +61,7 @@
         if route is None:
             raise errors.ServiceNotFound("no route matches the host and path")
         workspace = None
-        if self.configuration.workspaces and not route.is_public:
+        if self._needs_key(route):
             workspace = self._workspaces_by_digest.get(digest)
             if workspace is None:
                 raise errors.CallerKeyRefused("unknown caller key")
@@ -70,6 +71,10 @@
             version=self.configuration.version,
         )
 
+    def _needs_key(self, route: objects.Route) -> bool:
+        is_private = self.configuration.access is states.Access.PRIVATE
+        return is_private and not route.is_public
+
     def _find_longest_prefix(
         self, host: str, path: str
     ) -> objects.Route | None:
--- a/dragonflyshelf/core/states.py
+++ b/dragonflyshelf/core/states.py
@@ -4,7 +4,7 @@
 
 
 class Access(enum.Enum):
-    """Who may call a service."""
+    """Who may call: everyone, or who has a caller key."""
 
     OPEN = "open"
     PRIVATE = "private"
--- a/dragonflyshelf/platform/objects.py
+++ b/dragonflyshelf/platform/objects.py
@@ -13,6 +13,7 @@
 from dragonflyshelf.core import errors
 from dragonflyshelf.core import ids
 from dragonflyshelf.core.routing import objects as routing
+from dragonflyshelf.core import states
 from dragonflyshelf.core.store import messages as store
 from dragonflyshelf.core.upstreams import objects as upstreams
 from dragonflyshelf.platform import violations
@@ -117,14 +118,16 @@
 
 
 class ConfigurationRecord(msgspec.Struct, rename="pascal"):
-    """Configuration that the operator writes."""
+    """Configuration that the operator writes.
+
+    Without ``tenants`` it is open to everyone; without a row of them it is
+    open to nobody.
+    """
 
     version: str
     routes: Table
     services: Table
-    tenants: Table = msgspec.field(
-        default_factory=lambda: Table(columns=[], rows=[])
-    )
+    tenants: Table | msgspec.UnsetType = msgspec.UNSET
     limits: LimitsRecord = msgspec.field(default_factory=LimitsRecord)
 
 
@@ -174,6 +177,12 @@
 
 
 def _to_configuration(record: ConfigurationRecord) -> routing.Configuration:
+    tenants = record.tenants
+    if isinstance(tenants, msgspec.UnsetType):
+        access = states.Access.OPEN
+        tenants = Table(columns=[], rows=[])
+    else:
+        access = states.Access.PRIVATE
     return routing.Configuration(
         version=_parse_version(record.version),
         routes=tuple(
@@ -188,11 +197,10 @@
         ),
         workspaces=tuple(
             _to_workspace(row)
-            for row in _convert_rows(
-                "Tenants", record.tenants, WorkspaceRecord
-            )
+            for row in _convert_rows("Tenants", tenants, WorkspaceRecord)
         ),
         limits=_to_limits(record.limits),
+        access=access,
     )
 
 
--- a/tests/core/routing/test_table.py
+++ b/tests/core/routing/test_table.py
@@ -1,6 +1,7 @@
 """Tests of route lookup and of weighted traffic splits."""
 
 import collections
+import dataclasses
 
 import pytest
 
@@ -9,6 +10,7 @@
 from dragonflyshelf.core.routing import objects
 from dragonflyshelf.core.routing import split
 from dragonflyshelf.core.routing import table
+from dragonflyshelf.core import states
 from tests.core.scheduling import world
 
 NO_KEY = ids.KeyDigest("")
@@ -48,6 +50,21 @@
             is None
         )
 
+    def test_no_workspace(self) -> None:
+        """ROUTE: withdrawing the last workspace let everybody in."""
+        routes = table.RouteTable(world.configuration(workspaces=()))
+        for digest in (NO_KEY, world.DIGEST):
+            with pytest.raises(errors.CallerKeyRefused):
+                routes.match(world.HOST, "/read/1", digest)
+
+    def test_open_configuration(self) -> None:
+        """Without caller keys of any workspace every route is open."""
+        config = dataclasses.replace(
+            world.configuration(workspaces=()), access=states.Access.OPEN
+        )
+        match = table.RouteTable(config).match(world.HOST, "/read/1", NO_KEY)
+        assert match.workspace is None
+
     def test_workspace_priority(self) -> None:
         """The priority of the workspace overrides that of the route."""
         config = world.configuration(workspaces=(world.workspace(priority=0),))
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -12,6 +12,7 @@
 from dragonflyshelf.core import errors
 from dragonflyshelf.core import ids
 from dragonflyshelf.core.routing import objects as routing
+from dragonflyshelf.core import states
 from dragonflyshelf.core.store import messages as store
 from dragonflyshelf.platform import objects
 from stand_ins import configuration
@@ -182,6 +183,14 @@
         decoded = self.decode(spec).routes[0].kind
         assert (decoded, decoded.is_idempotent) == (kind, is_idempotent)
 
+    def test_no_workspaces(self) -> None:
+        """Without the table everyone is let in, without a row nobody."""
+        spec: Any = configuration.build_configuration(1, ["k"])
+        spec["Tenants"]["Rows"] = []
+        assert self.decode(spec).access is states.Access.PRIVATE
+        del spec["Tenants"]
+        assert self.decode(spec).access is states.Access.OPEN
+
     def test_caller_key_is_not_kept(self) -> None:
         """Only the digest of a caller key is kept."""
         decoded = self.decode(
