Remove what the former data path left, and share the stand-ins' server

Cause: members of enums, a function and a constant that nothing uses any more; port, listen and close stood twice in the stand-ins. Change: they are gone; both stand-ins build on StandInServer.

--- a/dragonflyshelf/core/language/kinds.py
+++ b/dragonflyshelf/core/language/kinds.py
@@ -11,7 +11,6 @@
 from typing import Any, Final
 
 from dragonflyshelf.core.configuration import objects
-from dragonflyshelf.core import errors
 from dragonflyshelf.core import ranges
 from dragonflyshelf.core import registry
 from dragonflyshelf.core import states
@@ -152,15 +151,6 @@
     return decorate
 
 
-def get_definition(object_kind: states.ConfigurationKind) -> KindDefinition:
-    """Return the definition of a kind, or raise ``NotRegistered``."""
-    if object_kind not in KEYWORDS_BY_KIND:
-        raise errors.NotRegistered(
-            f"no commands are defined for {object_kind.value}"
-        )
-    return KINDS.get(KEYWORDS_BY_KIND[object_kind])
-
-
 @register_kind("service", states.ConfigurationKind.SERVICE)
 class ServiceBounds:
     """Bounds of a service.
--- a/dragonflyshelf/core/states.py
+++ b/dragonflyshelf/core/states.py
@@ -32,8 +32,6 @@
     CALLER_KEY = "caller_key"
     DATA_CENTRE = "data_centre"
     INSTANCE = "instance"
-    ROSTER = "roster"
-    SEGMENT = "segment"
     SERVICE = "service"
     UPSTREAM = "upstream"
     WORKSPACE = "workspace"
@@ -62,21 +60,10 @@
     CONFIGURATION = "configuration"
     CONNECT = "connect"
     DISPATCH = "dispatch"
-    FORWARD = "forward"
-    GRANT = "grant"
     INVARIANT = "invariant"
     LIMIT = "limit"
     PARSE = "parse"
     PLATFORM = "platform"
     RECEIVE = "receive"
     ROUTE = "route"
-    SEND = "send"
     SETTINGS = "settings"
-    SHUTDOWN = "shutdown"
-
-
-class UpstreamState(enum.Enum):
-    """Whether an upstream is reachable."""
-
-    LOST = "lost"
-    UP = "up"
--- a/dragonflyshelf/core/timeline/audit.py
+++ b/dragonflyshelf/core/timeline/audit.py
@@ -19,15 +19,6 @@
 APPLY_BOUND_SECONDS: Final = 17.0
 """Bound on the time until all instances have applied a change."""
 
-TABLE_NAMES: Final = (
-    "limits",
-    "members",
-    "shards",
-    "timeline",
-    "timeline_counts",
-)
-"""Tables that the checks read."""
-
 
 class Verdict(enum.Enum):
     """Result of the check of a guarantee."""
--- a/stand_ins/store.py
+++ b/stand_ins/store.py
@@ -10,6 +10,7 @@
 
 from dragonflyshelf.runtime import http_server
 from stand_ins import objects
+from stand_ins import server
 
 PATH_PREFIX = "/-/objects/"
 MAX_PAGE_OBJECT_COUNT = 50
@@ -32,29 +33,16 @@
     delay_seconds: float = 0.0
 
 
-class StoreServer:
+class StoreServer(server.StandInServer):
     """Serves objects over HTTP and counts the calls."""
 
     def __init__(self) -> None:
         """Create an empty store without an injected fault."""
+        super().__init__(self._async_handle)
         self.objects = objects.ObjectStore()
         self.injection = FaultInjection()
         self.call_count = 0
         self._changed = asyncio.Event()
-        self._server = http_server.HttpServer(self._async_handle)
-
-    @property
-    def port(self) -> int:
-        """Return the bound port."""
-        return self._server.port
-
-    async def async_listen(self, host: str, port: int = 0) -> None:
-        """Listen on an address."""
-        await self._server.async_listen(host, port)
-
-    def close(self) -> None:
-        """Stop accepting connections."""
-        self._server.close()
 
     def notify_watches(self) -> None:
         """Wake the pending watches after a change of ``objects``."""
--- a/stand_ins/upstream.py
+++ b/stand_ins/upstream.py
@@ -9,6 +9,7 @@
 import time
 
 from dragonflyshelf.runtime import http_server
+from stand_ins import server
 
 BUCKET_KEY_COUNT = 64
 """Adjacent keys that form a bucket and are always granted together."""
@@ -69,7 +70,7 @@
     start: int
 
 
-class UpstreamServer:
+class UpstreamServer(server.StandInServer):
     """Runs requests in its slots and records them in ``executed_requests``."""
 
     def __init__(
@@ -81,6 +82,7 @@
         slots: int = 6,
     ) -> None:
         """Create an upstream; ``run_seconds`` is the run time of requests."""
+        super().__init__(self._async_handle)
         self.name = name
         self.service = service
         self.sharded = sharded
@@ -98,20 +100,6 @@
         self._free_slots = asyncio.Semaphore(slots)
         self._running_count = 0
         self._queued_count = 0
-        self._server = http_server.HttpServer(self._async_handle)
-
-    @property
-    def port(self) -> int:
-        """Return the bound port."""
-        return self._server.port
-
-    async def async_listen(self, host: str, port: int = 0) -> None:
-        """Listen on an address."""
-        await self._server.async_listen(host, port)
-
-    def close(self) -> None:
-        """Stop accepting connections."""
-        self._server.close()
 
     def crash(self) -> None:
         """Drop all grants and begin an incarnation with a later start."""
