Answer what absent, empty, 0 and negative fields mean

Cause: the decoder took a limit below zero, a route of a service that isn't there, an empty split, two routes with one prefix, rows with too few values and more as valid; what each of these did was left to chance.

--- a/dragonflyshelf/platform/objects.py
+++ b/dragonflyshelf/platform/objects.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from dragonflyshelf.codec import http
+from dragonflyshelf.core.configuration import validity
 from dragonflyshelf.core import errors
 from dragonflyshelf.core import ids
 from dragonflyshelf.core.routing import objects as routing
@@ -63,6 +64,20 @@
             for row in self.rows
         ]
 
+    def check_shape(self, name: str) -> None:
+        """Raise ``FieldViolation`` if a value has not exactly one column."""
+        if len(set(self.columns)) < len(self.columns):
+            raise violations.FieldViolation(
+                "a column is given twice", f"{name}.Columns", ""
+            )
+        for number, row in enumerate(self.rows):
+            if len(row) != len(self.columns):
+                raise violations.FieldViolation(
+                    f"has {len(row)} values for {len(self.columns)} columns",
+                    f"{name}.Rows[{number}]",
+                    "",
+                )
+
 
 class WeightedServiceRecord(msgspec.Struct, rename="pascal"):
     """Service and weight of one target of a traffic split."""
@@ -84,7 +99,7 @@
     priority: int = 0
     traffic_split: list[WeightedServiceRecord] | None = None
     public: bool = False
-    service: str = ""
+    service: str | None = None
 
 
 class ServiceRecord(msgspec.Struct, rename="pascal"):
@@ -102,7 +117,7 @@
     """Workspace, which the platform calls a tenant."""
 
     name: str
-    api_keys: list[str] = []
+    api_keys: list[Annotated[str, msgspec.Meta(min_length=1)]] = []
     priority: int | None = None
     rate_per_s: float = 0.0
     burst: float = 0.0
@@ -157,7 +172,10 @@
     Raises ``InvalidObject``, with the field at fault, if it is invalid.
     """
     try:
-        return _to_configuration(_decode_record(spec))
+        configuration = _to_configuration(_decode_record(spec))
+        for violation in validity.find_violations(configuration):
+            raise violations.translate(violation)
+        return configuration
     except violations.FieldViolation as error:
         raise errors.InvalidObject(
             error.reason,
@@ -208,6 +226,7 @@
     name: str, table: Table, record_type: type[R]
 ) -> abc.Iterator[R]:
     """Yield the rows of a table as records of a type."""
+    table.check_shape(name)
     for number, row in enumerate(table.records()):
         try:
             yield msgspec.convert(row, record_type)
@@ -270,10 +289,16 @@
     return ids.ConfigurationVersion(int(number))
 
 
+def _find_targets(record: RouteRecord) -> list[WeightedServiceRecord]:
+    """Return the services of a route; its split goes before its service."""
+    if record.traffic_split is not None:
+        return record.traffic_split
+    if record.service is None:
+        return []
+    return [WeightedServiceRecord(service=record.service, weight=1.0)]
+
+
 def _to_route(record: RouteRecord) -> routing.Route:
-    targets = record.traffic_split or [
-        WeightedServiceRecord(service=record.service, weight=1.0)
-    ]
     return routing.Route(
         name=ids.RouteName(record.name),
         host=record.host.lower(),
@@ -286,7 +311,7 @@
             routing.WeightedService(
                 service=ids.ServiceName(target.service), weight=target.weight
             )
-            for target in targets
+            for target in _find_targets(record)
         ),
         max_attempts=record.max_attempts,
         is_public=record.public,
