Admit the rate of a workspace that has no burst

Cause: a bucket held no more than the burst, so that with none, or one smaller than a batch of tokens, it held less than what instances ask for at once. With a burst of 0 every request was refused. Change: a bucket holds at least a quarter of a second of the rate, a whole second of a rate up to 4, and one token. That is less than half of what QUOTA grants beyond rate and burst in a window of 5 s.

--- a/dragonflyshelf/core/quota/allocator.py
+++ b/dragonflyshelf/core/quota/allocator.py
@@ -36,7 +36,9 @@
                 del self._buckets_by_workspace[name]
             else:
                 token_bucket.set_rate(
-                    workspace.rate * self._rate_ratio, workspace.burst, now
+                    workspace.rate * self._rate_ratio,
+                    bucket.find_capacity(workspace.rate, workspace.burst),
+                    now,
                 )
 
     def reserve_fallback(
@@ -54,7 +56,11 @@
         self._rate_ratio = ratio
         for name, token_bucket in self._buckets_by_workspace.items():
             workspace = self._workspaces_by_name[name]
-            token_bucket.set_rate(workspace.rate * ratio, workspace.burst, now)
+            token_bucket.set_rate(
+                workspace.rate * ratio,
+                bucket.find_capacity(workspace.rate, workspace.burst),
+                now,
+            )
 
     def reset(self) -> None:
         """Drop all buckets, when this instance becomes the leader."""
@@ -92,11 +98,12 @@
         token_bucket = self._buckets_by_workspace.get(name)
         workspace = self._workspaces_by_name.get(name)
         if token_bucket is None and workspace is not None:
+            capacity = bucket.find_capacity(workspace.rate, workspace.burst)
             token_bucket = bucket.TokenBucket(
                 rate=workspace.rate * self._rate_ratio,
-                burst=workspace.burst,
+                burst=capacity,
                 now=now,
-                tokens=workspace.burst * const.INITIAL_BURST_RATIO,
+                tokens=capacity * const.INITIAL_BURST_RATIO,
             )
             self._buckets_by_workspace[name] = token_bucket
         return token_bucket
--- a/dragonflyshelf/core/quota/bucket.py
+++ b/dragonflyshelf/core/quota/bucket.py
@@ -1,6 +1,20 @@
 """Token bucket whose rate and burst can change."""
 
 from dragonflyshelf.core import ids
+from dragonflyshelf.core.quota import const
+
+
+def find_capacity(rate: float, burst: float) -> float:
+    """Return the tokens that accrue at most, at least one.
+
+    A rate with little or no burst is still admitted.
+    """
+    return max(
+        burst,
+        rate * const.MIN_BURST_SECONDS,
+        min(rate, const.MIN_BURST_TOKEN_COUNT),
+        1.0,
+    )
 
 
 class TokenBucket:
--- a/dragonflyshelf/core/quota/const.py
+++ b/dragonflyshelf/core/quota/const.py
@@ -24,6 +24,16 @@
 RELAY_MIN_BURST: Final = 2.0
 """Tokens that can accrue in the fallback share of a relay."""
 
+MIN_BURST_SECONDS: Final = 0.25
+"""Seconds of a rate that may be used at once, whatever the burst is.
+
+Instances request tokens in batches; a bucket that can't hold a batch would
+admit less than its rate.
+"""
+
+MIN_BURST_TOKEN_COUNT: Final = 4.0
+"""Tokens up to which a whole second of a low rate may be used at once."""
+
 INITIAL_BURST_RATIO: Final = 0.3
 """Fraction of the burst in the buckets of a new leader.
 
