Let requests wait on until the leader has no tokens left

Cause: an allocation decided on all requests that waited, also on those that came after its request was sent and that it could not cover: of ten at once of an idle workspace nine were refused. The requests that waited for tokens of a workspace that was removed stayed in the queue; the next allocation raised KeyError in limiter.describe() and the effects of that event were lost. Change: what an allocation doesn't cover waits on, unless the leader said that none are left or doesn't respond, and is requested at once. A new version refuses the waiting requests of a removed workspace as the caller key is withdrawn, and admits those of one whose limit is gone.

--- a/dragonflyshelf/core/quota/limiter.py
+++ b/dragonflyshelf/core/quota/limiter.py
@@ -71,6 +71,10 @@
             if name not in self._workspaces_by_name:
                 del self._caches_by_workspace[name]
 
+    def knows(self, workspace: ids.WorkspaceId) -> bool:
+        """Return whether the configuration has a workspace."""
+        return workspace in self._workspaces_by_name
+
     def set_instance_count(self, count: int) -> None:
         """Set the number of instances that divide the fallback share."""
         self._fallback_share.set_instances(1, count)
@@ -92,9 +96,22 @@
         cache = self._cache(workspace)
         return self._take(workspace, cache, now) is AdmissionResult.ADMITTED
 
+    def may_get_tokens(
+        self, workspace: ids.WorkspaceId, now: ids.Instant
+    ) -> bool:
+        """Return whether a pending request may wait for further tokens.
+
+        The leader has not said that none are left, and it responds.
+        """
+        if self._leader_is_unresponsive:
+            return False
+        return now >= self._cache(workspace).exhausted_until
+
     def _take(
         self, workspace: ids.WorkspaceId, cache: TokenCache, now: ids.Instant
     ) -> AdmissionResult:
+        if self._workspaces_by_name[workspace].rate <= 0:
+            return AdmissionResult.ADMITTED
         cache.expire(now)
         if cache.tokens > 0:
             cache.tokens -= 1
--- a/dragonflyshelf/core/scheduling/admission.py
+++ b/dragonflyshelf/core/scheduling/admission.py
@@ -7,6 +7,7 @@
 from dragonflyshelf.core import ids
 from dragonflyshelf.core.quota import limiter
 from dragonflyshelf.core.quota import messages as quota
+from dragonflyshelf.core.routing import objects
 from dragonflyshelf.core.scheduling import retries
 
 
@@ -46,6 +47,28 @@
             waiting.append(exchange)
         return result
 
+    def set_workspaces(
+        self, workspaces: tuple[objects.Workspace, ...]
+    ) -> abc.Iterator[AdmissionDecision]:
+        """Apply new rates; yield decisions for requests that they end.
+
+        Those of a workspace that is gone are refused, those of one that has
+        no limit any more are admitted.
+        """
+        self.limiter.set_workspaces(workspaces)
+        limited = {
+            workspace.name for workspace in workspaces if workspace.rate > 0
+        }
+        names = {workspace.name for workspace in workspaces}
+        ended = [
+            name for name in self._waiting_by_workspace if name not in limited
+        ]
+        for name in ended:
+            for exchange in self._waiting_by_workspace.pop(name):
+                yield AdmissionDecision(
+                    exchange=exchange, is_admitted=name in names
+                )
+
     def next_request(
         self, workspace: ids.WorkspaceId, now: ids.Instant
     ) -> quota.TokenRequest | None:
@@ -53,6 +76,14 @@
         waiting = self._waiting_by_workspace.get(workspace, [])
         return self.limiter.next_request(workspace, len(waiting), now)
 
+    def next_waiting_request(
+        self, workspace: ids.WorkspaceId, now: ids.Instant
+    ) -> quota.TokenRequest | None:
+        """Return the token request for those that still wait, if any do."""
+        if workspace not in self._waiting_by_workspace:
+            return None
+        return self.next_request(workspace, now)
+
     def add_allocation(
         self, event: quota.TokenAllocation, now: ids.Instant
     ) -> abc.Iterator[AdmissionDecision]:
@@ -71,8 +102,13 @@
     def _decide_waiting(
         self, workspace: ids.WorkspaceId, now: ids.Instant
     ) -> abc.Iterator[AdmissionDecision]:
-        for exchange in self._waiting_by_workspace.pop(workspace, []):
+        """Yield decisions for the requests that need not wait any longer."""
+        waiting = self._waiting_by_workspace.pop(workspace, [])
+        for number, exchange in enumerate(waiting):
             admitted = self.limiter.take_deferred(workspace, now)
+            if not admitted and self.limiter.may_get_tokens(workspace, now):
+                self._waiting_by_workspace[workspace] = waiting[number:]
+                return
             yield AdmissionDecision(exchange=exchange, is_admitted=admitted)
 
     def cancel(
@@ -85,10 +121,17 @@
         if not waiting:
             self._waiting_by_workspace.pop(workspace, None)
 
-    def rate_error(
+    def refusal(
         self, workspace: ids.WorkspaceId, now: ids.Instant
-    ) -> errors.RateExceeded:
-        """Return the error for a workspace that exceeds its rate limit."""
+    ) -> errors.RouterError:
+        """Return the error for a request that gets no token.
+
+        Its workspace exceeds its rate limit, or was removed.
+        """
+        if not self.limiter.knows(workspace):
+            return errors.CallerKeyRefused(
+                f"workspace {workspace} was removed from the configuration"
+            )
         wait_seconds = self.limiter.seconds_to_token(workspace, now)
         return errors.RateExceeded(
             f"workspace {workspace} exceeds its rate limit:"
--- a/dragonflyshelf/core/scheduling/coordinator.py
+++ b/dragonflyshelf/core/scheduling/coordinator.py
@@ -190,7 +190,7 @@
         admission_result = self.token_queue.take(exchange.id, workspace, now)
         if admission_result is limiter.AdmissionResult.OVER_LIMIT:
             return self._refuse(
-                exchange, self.token_queue.rate_error(workspace, now)
+                exchange, self.token_queue.refusal(workspace, now)
             )
         effects: Effects = []
         if admission_result is limiter.AdmissionResult.ADMITTED:
@@ -207,9 +207,15 @@
     def _on_token_allocation(
         self, event: quota.TokenAllocation, now: ids.Instant
     ) -> Effects:
-        return self._apply_decisions(
+        effects = self._apply_decisions(
             self.token_queue.add_allocation(event, now), now
         )
+        token_request = self.token_queue.next_waiting_request(
+            event.workspace, now
+        )
+        return (
+            [*effects, token_request] if token_request is not None else effects
+        )
 
     def _apply_decisions(
         self,
@@ -225,7 +231,7 @@
                 exchange.has_token = True
                 effects.extend(self._accept(exchange, now))
             else:
-                error = self.token_queue.rate_error(exchange.workspace, now)
+                error = self.token_queue.refusal(exchange.workspace, now)
                 effects.extend(self._refuse(exchange, error))
         return effects
 
@@ -476,9 +482,10 @@
         if current and current.configuration.version >= configuration.version:
             return []
         self.route_table = table.RouteTable(configuration)
-        self.token_queue.limiter.set_workspaces(configuration.workspaces)
         self.fleet.set_services(configuration.services)
-        return []
+        return self._apply_decisions(
+            self.token_queue.set_workspaces(configuration.workspaces), now
+        )
 
     @HANDLERS.register(settings.SettingsChanged)
     def _on_settings_changed(
--- a/tests/core/quota/test_bursts.py
+++ b/tests/core/quota/test_bursts.py
@@ -1,4 +1,4 @@
-"""Tests of rates without a burst, and of bursts over all instances."""
+"""Tests of requests that come at once, and of rates without a burst."""
 
 import heapq
 import itertools
@@ -128,6 +128,54 @@
         return most - bound
 
 
+class TestRequestsAtOnce:
+    """9 of 10 requests at once of an idle workspace were refused."""
+
+    @pytest.mark.parametrize("count", [2, 10, 40])
+    def test_idle_workspace(self, count: int) -> None:
+        """All are admitted that its burst allows."""
+        cluster = QueueCluster(make_workspace(50.0, 50.0), 8)
+        cluster.fill_bucket()
+        for _ in range(count):
+            cluster.send(0)
+        cluster.advance(0.5)
+        assert len(cluster.admitted_at) == count
+        assert not cluster.refused_count
+
+    def test_many_instances(self) -> None:
+        """Five at once at each of eight instances are within the burst."""
+        cluster = QueueCluster(make_workspace(50.0, 50.0), 8)
+        cluster.fill_bucket()
+        for number in range(40):
+            cluster.send(number % 8)
+        cluster.advance(0.5)
+        assert len(cluster.admitted_at) == 40
+
+    def test_beyond_the_burst(self) -> None:
+        """Those over the limit are refused, none waits for good."""
+        cluster = QueueCluster(make_workspace(5.0, 10.0), 8)
+        cluster.fill_bucket()
+        for _ in range(60):
+            cluster.send(0)
+        cluster.advance(1.0)
+        assert 10 <= len(cluster.admitted_at) <= 15
+        assert len(cluster.admitted_at) + cluster.refused_count == 60
+        assert not cluster.queues[0].has_waiting
+
+    def test_lost_leader(self) -> None:
+        """Those that wait on when the leader goes get the fallback share."""
+        cluster = QueueCluster(make_workspace(50.0, 50.0), 8)
+        cluster.fill_bucket()
+        cluster.send(0)
+        for _ in range(9):
+            cluster.send(0)
+        cluster.is_leader_reachable = False
+        cluster.advance(1.0)
+        assert cluster.admitted_at
+        assert len(cluster.admitted_at) + cluster.refused_count == 10
+        assert not cluster.queues[0].has_waiting
+
+
 class TestRateWithoutBurst:
     """A rate without a burst refused everything."""
 
--- a/tests/core/scheduling/test_coordinator.py
+++ b/tests/core/scheduling/test_coordinator.py
@@ -7,6 +7,7 @@
 from dragonflyshelf.core import errors
 from dragonflyshelf.core import ids
 from dragonflyshelf.core.quota import messages as quota
+from dragonflyshelf.core.routing import objects as routing
 from dragonflyshelf.core.scheduling import messages as scheduling
 from dragonflyshelf.core.scheduling import retries
 from dragonflyshelf.core import settings
@@ -113,6 +114,55 @@
         assert harness.refusal(harness.request()) is not None
         assert len(harness.token_requests()) == request_count
 
+    def test_requests_at_once(self) -> None:
+        """Requests that wait on after an allocation are covered next."""
+        harness = self.make_harness()
+        exchanges = [harness.request() for _ in range(3)]
+        self.allocate(harness, 1, 0.0)
+        assert harness.sent_to(exchanges[0]) == ["u1"]
+        assert harness.refusal(exchanges[1]) is None
+        assert harness.token_requests()[-1].tokens >= 2
+        self.allocate(harness, 1, 0.0)
+        assert harness.sent_to(exchanges[1]) == ["u1"]
+        self.allocate(harness, 0, 0.4)
+        refusal = harness.refusal(exchanges[2])
+        assert refusal is not None and refusal.error.status == 429
+
+    def change_workspaces(
+        self,
+        harness: worlds.SchedulerHarness,
+        *workspaces: routing.Workspace,
+    ) -> None:
+        """Put a newer version with other workspaces in force."""
+        harness.handle(
+            scheduling.ConfigurationChanged(
+                configuration=worlds.configuration(
+                    version=2, workspaces=workspaces
+                )
+            )
+        )
+
+    def test_removed_workspace(self) -> None:
+        """Its waiting requests are refused, not left to a KeyError."""
+        harness = self.make_harness()
+        exchanges = [harness.request() for _ in range(2)]
+        self.change_workspaces(harness)
+        for exchange in exchanges:
+            refusal = harness.refusal(exchange)
+            assert refusal is not None
+            assert isinstance(refusal.error, errors.CallerKeyRefused)
+            assert refusal.error.outcome is states.Outcome.NOT_RUN
+        self.allocate(harness, 2, 0.0)
+        harness.advance(0.5)
+        assert not harness.sent_to(exchanges[0])
+
+    def test_removed_limit(self) -> None:
+        """Requests that wait for tokens are sent when the rate is gone."""
+        harness = self.make_harness()
+        exchange = harness.request()
+        self.change_workspaces(harness, worlds.workspace(0.0))
+        assert harness.sent_to(exchange) == ["u1"]
+
     def test_leader_does_not_respond(self) -> None:
         """The fallback share is used while the leader does not respond."""
         harness = self.make_harness()
