--- a/dragonflyshelf/cli/main.py
+++ b/dragonflyshelf/cli/main.py
@@ -6,6 +6,7 @@
 import defopt
 
 import dragonflyshelf
+from dragonflyshelf.cli import check_configuration
 from dragonflyshelf.cli import explain
 from dragonflyshelf.codec import settings_reference
 from dragonflyshelf.core import errors
@@ -53,6 +54,7 @@
         defopt.run(
             {
                 "check": check,
+                "check-config": check_configuration.check_configuration,
                 "explain": explain.explain,
                 "serve": serve,
                 "settings": show_settings,
--- a/dragonflyshelf/core/routing/table.py
+++ b/dragonflyshelf/core/routing/table.py
@@ -57,7 +57,7 @@
         Raises ``ServiceNotFound`` if no route matches and
         ``CallerKeyRefused`` if the caller key is unknown.
         """
-        route = self._find_longest_prefix(host, path)
+        route = self.find_route(host, path)
         if route is None:
             raise errors.ServiceNotFound("no route matches the host and path")
         workspace = None
@@ -75,9 +75,7 @@
         is_private = self.configuration.access is states.Access.PRIVATE
         return is_private and not route.is_public
 
-    def _find_longest_prefix(
-        self, host: str, path: str
-    ) -> objects.Route | None:
+    def find_route(self, host: str, path: str) -> objects.Route | None:
         """Return the route with the longest matching path prefix."""
         routes_by_prefix = self._routes_by_prefix.get(host)
         if routes_by_prefix is None:
--- a/dragonflyshelf/platform/objects.py
+++ b/dragonflyshelf/platform/objects.py
@@ -4,6 +4,7 @@
 """
 
 from collections import abc
+import dataclasses
 import ipaddress
 from typing import Annotated, Any, TypeVar
 
@@ -166,25 +167,61 @@
     )
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CheckedConfiguration:
+    """A configuration, None if it has faults, and those that were found."""
+
+    configuration: routing.Configuration | None
+    faults: tuple[errors.InvalidObject, ...]
+
+
 def decode_configuration(spec: bytes) -> routing.Configuration:
     """Return the operator's configuration.
 
     Raises ``InvalidObject``, with the field at fault, if it is invalid.
     """
+    checked = check_configuration(spec)
+    for fault in checked.faults:
+        raise fault
+    assert checked.configuration is not None
+    return checked.configuration
+
+
+def check_configuration(spec: bytes) -> CheckedConfiguration:
+    """Return the operator's configuration, or all faults that it has.
+
+    The rules are applied to a configuration whose fields can be decoded.
+    """
+    found: list[violations.FieldViolation] = []
+    configuration = None
     try:
-        configuration = _to_configuration(_decode_record(spec))
-        for violation in validity.find_violations(configuration):
-            raise violations.translate(violation)
-        return configuration
+        configuration = _to_configuration(_decode_record(spec), found)
     except violations.FieldViolation as error:
-        raise errors.InvalidObject(
-            error.reason,
-            version=_find_version(spec),
-            place=error.place,
-            value=error.value,
-        ) from error
+        found.append(error)
     except DECODING_ERRORS as error:
-        raise errors.InvalidObject(f"can't be decoded: {error}") from error
+        fault = errors.InvalidObject(f"can't be decoded: {error}")
+        return CheckedConfiguration(configuration=None, faults=(fault,))
+    if configuration is not None and not found:
+        found.extend(
+            violations.translate(violation)
+            for violation in validity.find_violations(configuration)
+        )
+    version = _find_version(spec) if found else ""
+    return CheckedConfiguration(
+        configuration=None if found else configuration,
+        faults=tuple(_to_fault(violation, version) for violation in found),
+    )
+
+
+def _to_fault(
+    violation: violations.FieldViolation, version: str
+) -> errors.InvalidObject:
+    return errors.InvalidObject(
+        violation.reason,
+        version=version,
+        place=violation.place,
+        value=violation.value,
+    )
 
 
 def _decode_record(spec: bytes) -> ConfigurationRecord:
@@ -194,45 +231,50 @@
         raise violations.locate(error, msgspec.json.decode(spec), "") from None
 
 
-def _to_configuration(record: ConfigurationRecord) -> routing.Configuration:
+def _to_configuration(
+    record: ConfigurationRecord, found: list[violations.FieldViolation]
+) -> routing.Configuration:
+    """Return a configuration without the rows that can't be decoded.
+
+    What is wrong with these is added to ``found``.
+    """
     tenants = record.tenants
     if isinstance(tenants, msgspec.UnsetType):
         access = states.Access.OPEN
         tenants = Table(columns=[], rows=[])
     else:
         access = states.Access.PRIVATE
+    routes = _convert_rows("Routes", record.routes, RouteRecord, found)
+    services = _convert_rows("Services", record.services, ServiceRecord, found)
+    workspaces = _convert_rows("Tenants", tenants, WorkspaceRecord, found)
     return routing.Configuration(
         version=_parse_version(record.version),
-        routes=tuple(
-            _to_route(row)
-            for row in _convert_rows("Routes", record.routes, RouteRecord)
-        ),
-        services=tuple(
-            _to_service(row)
-            for row in _convert_rows(
-                "Services", record.services, ServiceRecord
-            )
-        ),
-        workspaces=tuple(
-            _to_workspace(row)
-            for row in _convert_rows("Tenants", tenants, WorkspaceRecord)
-        ),
+        routes=tuple(_to_route(row) for row in routes),
+        services=tuple(_to_service(row) for row in services),
+        workspaces=tuple(_to_workspace(row) for row in workspaces),
         limits=_to_limits(record.limits),
         access=access,
     )
 
 
 def _convert_rows(
-    name: str, table: Table, record_type: type[R]
+    name: str,
+    table: Table,
+    record_type: type[R],
+    found: list[violations.FieldViolation],
 ) -> abc.Iterator[R]:
     """Yield the rows of a table as records of a type."""
-    table.check_shape(name)
+    try:
+        table.check_shape(name)
+    except violations.FieldViolation as error:
+        found.append(error)
+        return
     for number, row in enumerate(table.records()):
         try:
             yield msgspec.convert(row, record_type)
         except msgspec.ValidationError as error:
             place = f"{name}.Rows[{number}]"
-            raise violations.locate(error, row, place) from None
+            found.append(violations.locate(error, row, place))
 
 
 def _find_version(spec: bytes) -> str:
--- a/dragonflyshelf/platform/violations.py
+++ b/dragonflyshelf/platform/violations.py
@@ -45,7 +45,7 @@
     "warmup_rate": "WarmupPerS",
     "warmup_seconds": "WarmupS",
 }
-"""The platform's names of the fields that a rule can complain of."""
+"""The platform's names of the fields that a finding can be about."""
 
 
 class FieldViolation(ValueError):
