--- a/dragonflyshelf/platform/objects.py
+++ b/dragonflyshelf/platform/objects.py
@@ -4,12 +4,14 @@
 """
 
 from collections import abc
+import dataclasses
 import ipaddress
 from typing import Annotated, Any, TypeVar
 
 import msgspec
 
 from dragonflyshelf.codec import http
+from dragonflyshelf.core.configuration import validity
 from dragonflyshelf.core import errors
 from dragonflyshelf.core import ids
 from dragonflyshelf.core.routing import objects as routing
@@ -63,6 +65,20 @@
             for row in self.rows
         ]
 
+    def check_shape(self, name: str) -> None:
+        """Raise ``FieldViolation`` if a value has not exactly one column."""
+        if len(set(self.columns)) < len(self.columns):
+            raise violations.FieldViolation(
+                "a column is given twice", f"{name}.Columns", ""
+            )
+        for number, row in enumerate(self.rows):
+            if len(row) != len(self.columns):
+                raise violations.FieldViolation(
+                    f"has {len(row)} values for {len(self.columns)} columns",
+                    f"{name}.Rows[{number}]",
+                    "",
+                )
+
 
 class WeightedServiceRecord(msgspec.Struct, rename="pascal"):
     """Service and weight of one target of a traffic split."""
@@ -84,7 +100,7 @@
     priority: int = 0
     traffic_split: list[WeightedServiceRecord] | None = None
     public: bool = False
-    service: str = ""
+    service: str | None = None
 
 
 class ServiceRecord(msgspec.Struct, rename="pascal"):
@@ -102,7 +118,7 @@
     """Workspace, which the platform calls a tenant."""
 
     name: str
-    api_keys: list[str] = []
+    api_keys: list[Annotated[str, msgspec.Meta(min_length=1)]] = []
     priority: int | None = None
     rate_per_s: float = 0.0
     burst: float = 0.0
@@ -151,22 +167,61 @@
     )
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CheckedConfiguration:
+    """A configuration, None if it has faults, and those that were found."""
+
+    configuration: routing.Configuration | None
+    faults: tuple[errors.InvalidObject, ...]
+
+
 def decode_configuration(spec: bytes) -> routing.Configuration:
     """Return the operator's configuration.
 
     Raises ``InvalidObject``, with the field at fault, if it is invalid.
     """
+    checked = check_configuration(spec)
+    for fault in checked.faults:
+        raise fault
+    assert checked.configuration is not None
+    return checked.configuration
+
+
+def check_configuration(spec: bytes) -> CheckedConfiguration:
+    """Return the operator's configuration, or all faults that it has.
+
+    The rules are applied to a configuration whose fields can be decoded.
+    """
+    found: list[violations.FieldViolation] = []
+    configuration = None
     try:
-        return _to_configuration(_decode_record(spec))
+        configuration = _to_configuration(_decode_record(spec), found)
     except violations.FieldViolation as error:
-        raise errors.InvalidObject(
-            error.reason,
-            version=_find_version(spec),
-            place=error.place,
-            value=error.value,
-        ) from error
+        found.append(error)
     except DECODING_ERRORS as error:
-        raise errors.InvalidObject(f"can't be decoded: {error}") from error
+        fault = errors.InvalidObject(f"can't be decoded: {error}")
+        return CheckedConfiguration(configuration=None, faults=(fault,))
+    if configuration is not None and not found:
+        found.extend(
+            violations.translate(violation)
+            for violation in validity.find_violations(configuration)
+        )
+    version = _find_version(spec) if found else ""
+    return CheckedConfiguration(
+        configuration=None if found else configuration,
+        faults=tuple(_to_fault(violation, version) for violation in found),
+    )
+
+
+def _to_fault(
+    violation: violations.FieldViolation, version: str
+) -> errors.InvalidObject:
+    return errors.InvalidObject(
+        violation.reason,
+        version=version,
+        place=violation.place,
+        value=violation.value,
+    )
 
 
 def _decode_record(spec: bytes) -> ConfigurationRecord:
@@ -176,44 +231,50 @@
         raise violations.locate(error, msgspec.json.decode(spec), "") from None
 
 
-def _to_configuration(record: ConfigurationRecord) -> routing.Configuration:
+def _to_configuration(
+    record: ConfigurationRecord, found: list[violations.FieldViolation]
+) -> routing.Configuration:
+    """Return a configuration without the rows that can't be decoded.
+
+    What is wrong with these is added to ``found``.
+    """
     tenants = record.tenants
     if isinstance(tenants, msgspec.UnsetType):
         access = states.Access.OPEN
         tenants = Table(columns=[], rows=[])
     else:
         access = states.Access.PRIVATE
+    routes = _convert_rows("Routes", record.routes, RouteRecord, found)
+    services = _convert_rows("Services", record.services, ServiceRecord, found)
+    workspaces = _convert_rows("Tenants", tenants, WorkspaceRecord, found)
     return routing.Configuration(
         version=_parse_version(record.version),
-        routes=tuple(
-            _to_route(row)
-            for row in _convert_rows("Routes", record.routes, RouteRecord)
-        ),
-        services=tuple(
-            _to_service(row)
-            for row in _convert_rows(
-                "Services", record.services, ServiceRecord
-            )
-        ),
-        workspaces=tuple(
-            _to_workspace(row)
-            for row in _convert_rows("Tenants", tenants, WorkspaceRecord)
-        ),
+        routes=tuple(_to_route(row) for row in routes),
+        services=tuple(_to_service(row) for row in services),
+        workspaces=tuple(_to_workspace(row) for row in workspaces),
         limits=_to_limits(record.limits),
         access=access,
     )
 
 
 def _convert_rows(
-    name: str, table: Table, record_type: type[R]
+    name: str,
+    table: Table,
+    record_type: type[R],
+    found: list[violations.FieldViolation],
 ) -> abc.Iterator[R]:
     """Yield the rows of a table as records of a type."""
+    try:
+        table.check_shape(name)
+    except violations.FieldViolation as error:
+        found.append(error)
+        return
     for number, row in enumerate(table.records()):
         try:
             yield msgspec.convert(row, record_type)
         except msgspec.ValidationError as error:
             place = f"{name}.Rows[{number}]"
-            raise violations.locate(error, row, place) from None
+            found.append(violations.locate(error, row, place))
 
 
 def _find_version(spec: bytes) -> str:
@@ -270,10 +331,16 @@
     return ids.ConfigurationVersion(int(number))
 
 
+def _find_targets(record: RouteRecord) -> list[WeightedServiceRecord]:
+    """Return the services of a route; its split goes before its service."""
+    if record.traffic_split is not None:
+        return record.traffic_split
+    if record.service is None:
+        return []
+    return [WeightedServiceRecord(service=record.service, weight=1.0)]
+
+
 def _to_route(record: RouteRecord) -> routing.Route:
-    targets = record.traffic_split or [
-        WeightedServiceRecord(service=record.service, weight=1.0)
-    ]
     return routing.Route(
         name=ids.RouteName(record.name),
         host=record.host.lower(),
@@ -286,7 +353,7 @@
             routing.WeightedService(
                 service=ids.ServiceName(target.service), weight=target.weight
             )
-            for target in targets
+            for target in _find_targets(record)
         ),
         max_attempts=record.max_attempts,
         is_public=record.public,
