End a list only where the store says so

Names went unescaped into the query: "a copy 1" broke every list after it, "a+b" made it endless, "é" ended the task that lists.

Change: a page is left by the last name in it, escaped, and by that of an object of which nothing else can be read. If there is none, or one that was used before, the list has failed: the replica stays as it is, and the failure is logged.

--- a/dragonflyshelf/platform/store.py
+++ b/dragonflyshelf/platform/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from typing import Any
+import urllib.parse
 
 import h11
 import msgspec
@@ -24,6 +25,9 @@
 STATUS_GONE = 410
 """The store no longer has the changes since a revision."""
 
+FIRST_PAGE = ids.ObjectName("")
+"""Name after which the first page of a list begins."""
+
 UNKNOWN_REVISION = ids.Revision(0)
 """Revision of an object that does not tell its own."""
 
@@ -51,19 +55,32 @@
     async def async_list(
         self, kind: store.ObjectKind, sent_at: ids.Instant
     ) -> store.KindListed:
-        """Return all objects of a kind."""
+        """Return all objects of a kind.
+
+        The list ends where the store says so. One that makes no progress, as
+        a page has no name after which it could go on, raises
+        ``PlatformUnavailable``: what follows is not known to be absent.
+        """
         path = names.PATHS_BY_KIND[kind]
         objects: list[store.StoredObject] = []
         revision = ids.Revision(0)
-        query = ""
+        former_names = {FIRST_PAGE}
+        after = FIRST_PAGE
         while True:
+            query = f"?after={_escape(after)}" if after else ""
             response = await self._async_get(path + query)
             page = records.decode_page(kind, response.body)
             revision = revision or page.revision
             objects.extend(page.objects)
-            if not page.has_more or not page.objects:
+            if not page.has_more:
                 break
-            query = f"?after={page.objects[-1].name}"
+            after = page.objects[-1].name if page.objects else after
+            if after in former_names:
+                raise errors.PlatformUnavailable(
+                    f"the list makes no progress after the name {after!r}",
+                    peer=self._config.address,
+                )
+            former_names.add(after)
         return store.KindListed(
             kind=kind,
             revision=revision,
@@ -111,7 +128,7 @@
         method = "POST"
         if write.expected_revision:
             method = "PUT"
-            path = f"{path}/{write.name}"
+            path = f"{path}/{_escape(write.name)}"
             body["Metadata"]["Revision"] = write.expected_revision
         response = await self._async_call(
             method, path, write.timeout, msgspec.json.encode(body)
@@ -149,6 +166,11 @@
             ) from error
 
 
+def _escape(name: ids.ObjectName) -> str:
+    """Return a name as it is written in a path or query."""
+    return urllib.parse.quote(name, safe="")
+
+
 def _complete_write(
     write: grantor.WriteControl,
     response: http_client.HttpResponse,
--- a/tests/runtime/store/test_watch.py
+++ b/tests/runtime/store/test_watch.py
@@ -7,6 +7,7 @@
 from dragonflyshelf.core import ids
 from dragonflyshelf.core import settings
 from dragonflyshelf.core.store import messages as store
+from dragonflyshelf.runtime import http_server
 from dragonflyshelf.runtime import inbox
 from dragonflyshelf.runtime.store import messages
 from dragonflyshelf.runtime.store import watch
@@ -87,3 +88,31 @@
                 assert listed is Kind.CONFIGURATION
 
         asyncio.run(async_check())
+
+    def test_list_without_progress(self) -> None:
+        """It is reported as a failure, not as a kind without objects."""
+
+        async def async_handle(
+            request: http_server.ServerRequest,
+        ) -> http_server.ServerResponse:
+            page = b'{"items":[],"More":true,"StoreRevision":9}'
+            return http_server.ServerResponse(status=200, body=page)
+
+        async def async_check() -> None:
+            server = http_server.HttpServer(async_handle)
+            await server.async_listen("127.0.0.1", 0)
+            events = inbox.Inbox("events")
+            config = settings.StoreSettings(address=f"127.0.0.1:{server.port}")
+            watch_task = watch.StoreWatchTask(config, events)
+            async with (
+                watch_task.async_running(),
+                asyncio.timeout(TIMEOUT_SECONDS),
+            ):
+                watch_task.inbox.post(watch_kinds(Kind.REGISTRATION))
+                await events.async_wait()
+            server.close()
+            event = events.pop()
+            assert isinstance(event, store.StoreCallFailed)
+            assert "no progress" in event.error.message
+
+        asyncio.run(async_check())
