Refuse what a token request covered and the leader could not

With many instances it always has a few for each, so that a workspace far over its rate queued its requests until their deadlines. Change: a token request remembers how many of the waiting requests it covers. Those are decided by its allocation; only what came later waits for the next request, so that each waits for two at most.

--- a/dragonflyshelf/core/quota/limiter.py
+++ b/dragonflyshelf/core/quota/limiter.py
@@ -31,12 +31,14 @@
 class TokenCache:
     """Allocated tokens of one workspace, and the demand for them.
 
-    ``requested_at`` is the time of the token request under way.
+    ``requested_at`` is the time of the token request under way, and
+    ``covered_count`` the number of pending requests that it covers.
     """
 
     tokens: int = 0
     allocated_at: ids.Instant = ids.Instant(0.0)
     requested_at: ids.Instant | None = None
+    covered_count: int = 0
     fallback_used_count: int = 0
     exhausted_until: ids.Instant = ids.Instant(0.0)
     demand_estimate: demand.DemandEstimate = dataclasses.field(
@@ -96,16 +98,19 @@
         cache = self._cache(workspace)
         return self._take(workspace, cache, now) is AdmissionResult.ADMITTED
 
-    def may_get_tokens(
-        self, workspace: ids.WorkspaceId, now: ids.Instant
+    def may_wait(
+        self, workspace: ids.WorkspaceId, position: int, now: ids.Instant
     ) -> bool:
-        """Return whether a pending request may wait for further tokens.
+        """Return whether a pending request without a token may wait on.
 
-        The leader has not said that none are left, and it responds.
+        It may if the last token request did not cover its position among
+        the pending ones, counted from 0, unless the leader has said that no
+        tokens are left or does not respond.
         """
-        if self._leader_is_unresponsive:
+        cache = self._cache(workspace)
+        if self._leader_is_unresponsive or now < cache.exhausted_until:
             return False
-        return now >= self._cache(workspace).exhausted_until
+        return position >= cache.covered_count
 
     def _take(
         self, workspace: ids.WorkspaceId, cache: TokenCache, now: ids.Instant
@@ -156,6 +161,7 @@
             pending_count + prefetch_count, const.MAX_REQUESTED_TOKEN_COUNT
         )
         cache.requested_at = now
+        cache.covered_count = min(pending_count, tokens)
         return messages.TokenRequest(workspace=workspace, tokens=tokens)
 
     def add_allocation(
--- a/dragonflyshelf/core/scheduling/admission.py
+++ b/dragonflyshelf/core/scheduling/admission.py
@@ -104,10 +104,12 @@
     ) -> abc.Iterator[AdmissionDecision]:
         """Yield decisions for the requests that need not wait any longer."""
         waiting = self._waiting_by_workspace.pop(workspace, [])
-        for number, exchange in enumerate(waiting):
+        for position, exchange in enumerate(waiting):
             admitted = self.limiter.take_deferred(workspace, now)
-            if not admitted and self.limiter.may_get_tokens(workspace, now):
-                self._waiting_by_workspace[workspace] = waiting[number:]
+            if not admitted and self.limiter.may_wait(
+                workspace, position, now
+            ):
+                self._waiting_by_workspace[workspace] = waiting[position:]
                 return
             yield AdmissionDecision(exchange=exchange, is_admitted=admitted)
 
--- a/tests/core/quota/test_bursts.py
+++ b/tests/core/quota/test_bursts.py
@@ -49,6 +49,8 @@
         self.is_leader_reachable = True
         self.admitted_at: list[float] = []
         self.refused_count = 0
+        self.longest_wait = 0.0
+        self._arrived_at: dict[ids.ExchangeId, ids.Instant] = {}
         self._numbers = itertools.count(1)
         self._requests: list[tuple[float, int, int, messages.TokenRequest]] = (
             []
@@ -65,6 +67,7 @@
         """Send a request to an instance."""
         queue = self.queues[index]
         exchange = ids.ExchangeId(next(self._numbers))
+        self._arrived_at[exchange] = self.now
         result = queue.take(exchange, WORKSPACE, self.now)
         if result is limiter.AdmissionResult.ADMITTED:
             self.admitted_at.append(self.now)
@@ -109,6 +112,8 @@
         self, decisions: "itertools.chain[admission.AdmissionDecision]"
     ) -> None:
         for decision in list(decisions):
+            waited = self.now - self._arrived_at[decision.exchange]
+            self.longest_wait = max(self.longest_wait, waited)
             if decision.is_admitted:
                 self.admitted_at.append(self.now)
             else:
@@ -162,6 +167,24 @@
         assert len(cluster.admitted_at) + cluster.refused_count == 60
         assert not cluster.queues[0].has_waiting
 
+    @pytest.mark.parametrize("rate", [40.0, 400.0])
+    def test_long_above_the_rate(self, rate: float) -> None:
+        """Each is decided by the first allocation requested after it came.
+
+        The leader always has a few tokens left for each instance, so that
+        none is told that there are none.
+        """
+        rng = random.Random(3)
+        cluster = QueueCluster(make_workspace(rate, rate), 8)
+        count = int(rate * 3 * STEP_SECONDS * 1000)
+        for number in range(count):
+            cluster.send(rng.randrange(8))
+            if number % max(int(rate * 3 * STEP_SECONDS), 1) == 0:
+                cluster.advance(STEP_SECONDS)
+        cluster.advance(2 * DELAY_SECONDS + STEP_SECONDS)
+        assert len(cluster.admitted_at) + cluster.refused_count == count
+        assert cluster.longest_wait <= 2 * DELAY_SECONDS + 2 * STEP_SECONDS
+
     def test_lost_leader(self) -> None:
         """Those that wait on when the leader goes get the fallback share."""
         cluster = QueueCluster(make_workspace(50.0, 50.0), 8)
