--- a/dragonflyshelf/runtime/gateway/control.py
+++ b/dragonflyshelf/runtime/gateway/control.py
@@ -262,8 +262,14 @@
     def _publish_control(self, changes: tuple[store.Change, ...]) -> None:
         for change in changes:
             self._decoded_objects.apply(change)
+        self._record_faults(Kind.CONTROL)
         self._observe_control(changes)
 
+    def _record_faults(self, kind: Kind) -> None:
+        diagnostics.record_faults(
+            kind, self._decoded_objects.fault_count(kind)
+        )
+
     @task.handles(PublishChanges)
     def _on_publish_changes(self, message: PublishChanges) -> None:
         """Send on what has changed since the last time, and publish it."""
@@ -277,9 +283,7 @@
                 self._decoded_objects.apply(change)
                 for change in changes_by_name.values()
             ]
-            diagnostics.record_faults(
-                kind, self._decoded_objects.fault_count(kind)
-            )
+            self._record_faults(kind)
             if any(may_publish):
                 PUBLISHERS.get(kind)(self)
             self._confirm(kind)
--- a/tests/runtime/gateway/test_invalid_configuration.py
+++ b/tests/runtime/gateway/test_invalid_configuration.py
@@ -12,6 +12,7 @@
 from dragonflyshelf.core.scheduling import messages as scheduling
 from dragonflyshelf.core.store import messages as store
 from dragonflyshelf.runtime.gateway import control
+from dragonflyshelf.runtime.gateway import diagnostics
 from stand_ins import configuration
 from tests.runtime.gateway import test_control
 
@@ -237,6 +238,32 @@
         asyncio.run(async_check())
 
 
+class TestMetric:
+    """The number of invalid objects is a metric."""
+
+    def read_metric(self) -> float:
+        """Return the number of invalid configurations."""
+        gauge = diagnostics.INVALID_OBJECTS.labels(KIND.value)
+        (sample,) = next(iter(gauge.collect())).samples
+        return sample.value
+
+    def test_invalid_version(self) -> None:
+        """It is 1 until a valid version is in force."""
+
+        async def async_check() -> None:
+            async with test_control.async_run_control() as task:
+                await async_post(
+                    task, make_change(1, encode_version(1, "odd"), task.now)
+                )
+                assert self.read_metric() == 1
+                await async_post(
+                    task, make_change(2, encode_version(2), task.now)
+                )
+                assert self.read_metric() == 0
+
+        asyncio.run(async_check())
+
+
 class TestLogLine:
     """A version that is not used is logged once, with the reason."""
 
