Place the ranges of services with many upstreams by load and speed

The ranges of evacuated and lost upstreams went to those with the fewest ranges, whatever they bear. And slow upstreams got keys for their share of the slots although faster ones had room.

--- a/dragonflyshelf/core/grantor/shards.py
+++ b/dragonflyshelf/core/grantor/shards.py
@@ -7,6 +7,7 @@
 
 import bisect
 
+from dragonflyshelf.core.grantor import capacity
 from dragonflyshelf.core.grantor import const
 from dragonflyshelf.core.grantor import failure_detector
 from dragonflyshelf.core.grantor import hold
@@ -277,19 +278,18 @@
         """Return the assignments with ended moves settled and new moves."""
         usable = {registration.incarnation for registration in self._usable()}
         usable -= self._lost_incarnations(now)
-        current = [
-            grant.assignment for grant in self._grants_by_first_key.values()
+        settled_grants = [
+            (grant, self._settle(grant))
+            for grant in self._grants_by_first_key.values()
         ]
-        range_counts = planning.RangeCounts(candidates, current)
-        assignments = []
-        for grant in self._grants_by_first_key.values():
-            assignment = self._settle(grant)
-            if assignment.life not in usable and grant.can_move():
-                assignment = planning.moved(
-                    assignment, range_counts.pick_least_loaded()
-                )
-            assignments.append(assignment)
-        planned = tuple(assignments)
+        lost = {
+            assignment.first
+            for grant, assignment in settled_grants
+            if assignment.life not in usable and grant.can_move()
+        }
+        planned = tuple(assignment for _, assignment in settled_grants)
+        if lost:
+            planned = self._replace_holders(planned, lost, candidates, now)
         if now < self._next_rebalance_at:
             return planned
         self._next_rebalance_at = ids.Instant(
@@ -297,6 +297,50 @@
         )
         return self._rebalanced(planned, candidates, now)
 
+    def _replace_holders(
+        self,
+        assignments: tuple[objects.Assignment, ...],
+        lost: set[ids.ShardKey],
+        candidates: list[upstreams.Registration],
+        now: ids.Instant,
+    ) -> tuple[objects.Assignment, ...]:
+        """Move the ranges that begin at the ``lost`` keys, busiest first."""
+        rebalancer = self._make_rebalancer(assignments, candidates, now)
+        moved_by_first_key = {
+            assignment.first: rebalancer.place(assignment)
+            for assignment in sorted(
+                (
+                    assignment
+                    for assignment in assignments
+                    if assignment.first in lost
+                ),
+                key=rebalancer.find_rate,
+                reverse=True,
+            )
+        }
+        return tuple(
+            moved_by_first_key.get(assignment.first, assignment)
+            for assignment in assignments
+        )
+
+    def _make_rebalancer(
+        self,
+        assignments: tuple[objects.Assignment, ...],
+        candidates: list[upstreams.Registration],
+        now: ids.Instant,
+    ) -> rebalancing.Rebalancer:
+        load = self.load_tracker.load_by_bucket(now)
+        return rebalancing.Rebalancer(
+            assignments,
+            candidates,
+            load,
+            capacity.find_capacities(
+                candidates,
+                self._service_times_by_incarnation,
+                load.get(objects.TOTAL_LOAD_KEY, 0.0),
+            ),
+        )
+
     def _rebalanced(
         self,
         assignments: tuple[objects.Assignment, ...],
@@ -311,18 +355,9 @@
         max_moves -= sum(
             not assignment.is_settled for assignment in assignments
         )
-        load = self.load_tracker.load_by_bucket(now)
-        if (
-            load.get(objects.TOTAL_LOAD_KEY, 0.0)
-            < const.MIN_REBALANCE_REQUESTS_PER_SECOND
-        ):
+        rebalancer = self._make_rebalancer(assignments, candidates, now)
+        if rebalancer.total_rate < const.MIN_REBALANCE_REQUESTS_PER_SECOND:
             return assignments
-        capacity = rebalancing.capacities(
-            candidates, self._service_times_by_incarnation
-        )
-        rebalancer = rebalancing.Rebalancer(
-            assignments, candidates, load, capacity
-        )
         return rebalancer.rebalance(max_moves)
 
     def _settle(self, grant: range_grants.RangeGrant) -> objects.Assignment:
--- a/tests/core/grantor/test_rebalancing.py
+++ b/tests/core/grantor/test_rebalancing.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from dragonflyshelf.core.grantor import capacity
 from dragonflyshelf.core.grantor import const
 from dragonflyshelf.core.grantor import objects
 from dragonflyshelf.core.grantor import planning
@@ -39,7 +40,9 @@
         assignments,
         UPSTREAMS,
         {ids.ShardKey(key): rate for key, rate in load.items()},
-        rebalancing.capacities(UPSTREAMS, sums_by_incarnation),
+        capacity.find_capacities(
+            UPSTREAMS, sums_by_incarnation, load[TOTAL_LOAD_KEY]
+        ),
     ).rebalance(const.MIN_CONCURRENT_MOVE_COUNT)
 
 
