Know the memory and the descriptors of the machine

Cause: nothing in an instance knows how much memory and how many descriptors its machine has, so no limit can follow from them.

Change: memory_mb and descriptors in the settings of the instance, filled in from the platform's MemoryMb and MaxFds. Nothing uses them yet.

--- a/dragonflyshelf/core/settings.py
+++ b/dragonflyshelf/core/settings.py
@@ -38,7 +38,8 @@
     """Section ``instance``: identity and size of this process.
 
     It may use the share ``core_share`` of a core, ``cores`` times as fast
-    as a usual one, and ``link_mbps`` Mbit/s of its network link.
+    as a usual one, ``link_mbps`` Mbit/s of its network link, ``memory_mb``
+    MiB of memory and ``descriptors`` file descriptors.
     """
 
     name: ids.InstanceId
@@ -47,6 +48,10 @@
     core_share: Annotated[float, ranges.Range(minimum=0.001, maximum=1)] = 1.0
     cores: Annotated[float, ranges.Range(minimum=0.01, maximum=1024)] = 1.0
     link_mbps: Annotated[float, ranges.Range(minimum=0.1, maximum=1e6)] = 1e3
+    memory_mb: Annotated[float, ranges.Range(minimum=64, maximum=1e6)] = 1024.0
+    descriptors: Annotated[
+        int, ranges.Range(minimum=256, maximum=10000000)
+    ] = 16384
 
     @property
     def is_small(self) -> bool:
--- a/tests/codec/test_settings_reference.py
+++ b/tests/codec/test_settings_reference.py
@@ -56,6 +56,8 @@
     "Limits.CpuShare": "0.717",
     "Limits.Cores": "3",
     "Limits.LinkMbps": "60.0",
+    "Limits.MemoryMb": "160",
+    "Limits.MaxFds": "1638",
     "Bounds.RetryBudgetRatio": "0.2",
     "Bounds.RetryBudgetSlack": "56",
     "Bounds.BudgetWindowS": "10",
@@ -101,6 +103,8 @@
             3,
         )
         assert parsed.instance.link_mbps == 60.0
+        assert parsed.instance.memory_mb == 160.0
+        assert parsed.instance.descriptors == 1638
         assert (parsed.retries.share, parsed.retries.window) == (0.2, 10.0)
         assert (parsed.promises.apply, parsed.promises.drain) == (2.5, 2.0)
         assert (parsed.shutdown.settle, parsed.shutdown.deadline) == (2.3, 5.6)
