Account for the bytes that connections hold

Cause: each connection bounds some of what it holds, and nothing bounds what all of them hold together.

--- a/dragonflyshelf/core/ids.py
+++ b/dragonflyshelf/core/ids.py
@@ -23,6 +23,9 @@
 Instant = NewType("Instant", float)
 """Reading of the monotonic clock of this process, in seconds."""
 
+HolderId = NewType("HolderId", int)
+"""Connection in the account of memory, unique in one process."""
+
 InstanceId = NewType("InstanceId", str)
 """Name of an instance."""
 
--- /dev/null
+++ b/dragonflyshelf/core/memory/__init__.py
@@ -0,0 +1,1 @@
+"""Memory that an instance holds for connections, and its limits."""
--- a/dragonflyshelf/core/settings.py
+++ b/dragonflyshelf/core/settings.py
@@ -69,7 +69,9 @@
     Only a request whose body has at most ``replay_bytes`` is retried.
     ``window_bytes`` is the flow control window of a body. ``linger_timeout``
     limits how long a closing connection may take to deliver its last
-    response.
+    response, and ``write_timeout`` how long a caller may take nothing of the
+    responses that wait for it. ``held_bytes`` limits what is held for all
+    connections together; 0 stands for a quarter of the memory.
     """
 
     deadline: Annotated[float, DURATION_RANGE] = 10.0
@@ -92,6 +94,10 @@
     idle_timeout: Annotated[float, DURATION_RANGE] = 60.0
     read_timeout: Annotated[float, DURATION_RANGE] = 10.0
     linger_timeout: Annotated[float, DURATION_RANGE] = 2.0
+    write_timeout: Annotated[float, DURATION_RANGE] = 10.0
+    held_bytes: Annotated[
+        int, ranges.Range(minimum=0, maximum=1024 * 1024 * MIB, unit="B")
+    ] = 0
     inbox_messages: Annotated[
         int, ranges.Range(minimum=16, maximum=10000000)
     ] = 100000
