Read and accept little at a time

Cause: a socket was read up to 256 KiB at once and up to 1,024 connections were accepted at once, before any limit could act: with 700 connections that is 175 MiB and all descriptors of a small machine.

Change: sockets read into one buffer of the process, 64 KiB at most or as much as their owner says; a server accepts 16 connections at a time, while the kernel's queue keeps its length.

--- a/dragonflyshelf/runtime/sockets.py
+++ b/dragonflyshelf/runtime/sockets.py
@@ -1,6 +1,7 @@
 """Adapter that converts socket events into messages."""
 
 import asyncio
+from collections import abc
 import dataclasses
 import socket
 import struct
@@ -11,6 +12,18 @@
 LINGER_RESET: Final = struct.pack("ii", 1, 0)
 """``SO_LINGER`` with a timeout of 0, so that closing sends a reset."""
 
+ACCEPT_BATCH_COUNT: Final = 16
+"""Connections that are accepted at once.
+
+Each has a descriptor before the listener can refuse it.
+"""
+
+READ_BYTES: Final = 65536
+"""Most that is read from a socket at once."""
+
+_READ_BUFFER: Final = memoryview(bytearray(READ_BYTES))
+"""Buffer that all sockets of the process read to, one after the other."""
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class SocketOpened:
@@ -53,12 +66,18 @@
 _WRITE_RESUMED = WriteResumed()
 
 
-class SocketProtocol(asyncio.Protocol):
+class SocketProtocol(asyncio.BufferedProtocol):
     """Protocol that posts every socket event to the inbox of its owner."""
 
-    def __init__(self, owner: inbox.Inbox) -> None:
-        """Create the protocol for the task that owns this inbox."""
+    def __init__(
+        self, owner: inbox.Inbox, read_bytes: int = READ_BYTES
+    ) -> None:
+        """Create the protocol for the task that owns this inbox.
+
+        At most ``read_bytes`` are read at once.
+        """
         self._owner = owner
+        self._read_buffer = _READ_BUFFER[:read_bytes]
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Post the transport to the owner."""
@@ -66,9 +85,13 @@
             SocketOpened(transport=cast(asyncio.Transport, transport))
         )
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next read."""
+        return self._read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Post received data to the owner."""
-        self._owner.post(DataReceived(data=data))
+        self._owner.post(DataReceived(data=bytes(self._read_buffer[:nbytes])))
 
     def eof_received(self) -> bool:
         """Post the end of input; the owner closes the transport itself."""
@@ -88,6 +111,27 @@
         self._owner.post(_WRITE_RESUMED)
 
 
+async def async_create_server(
+    factory: abc.Callable[[], asyncio.BaseProtocol],
+    host: str,
+    port: int,
+    queue_count: int,
+) -> asyncio.Server:
+    """Listen on an address and accept a few connections at a time.
+
+    The kernel queues up to ``queue_count`` further ones.
+    """
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    listening_socket = socket.create_server((host, port), family=family)
+    listening_socket.setblocking(False)
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(
+        factory, sock=listening_socket, backlog=ACCEPT_BATCH_COUNT
+    )
+    listening_socket.listen(queue_count)
+    return server
+
+
 def is_write_buffer_full(transport: asyncio.Transport | None) -> bool:
     """Return whether the write buffer is above its high-water mark.
 
