Parse no further request while responses wait for their caller

Cause: a connection parsed pipelined requests as long as it had others under way, whatever waited in its write buffer; a caller that read nothing ended only with its requests' deadlines. Nothing bounded all connections together, nor the descriptors. Each chunk of a body was an event however short, and all of them were parsed in one turn. A peer's reset made half_close() fail.

Change: a full write buffer stops parsing, also of requests that the instance answers itself; after write_timeout without progress the connection is reset. Each connection reports to the account what it holds (received, heads, bodies, waiting responses, unsent bytes), is not read over its share, and is reset when the account says so. At most 64 events are parsed in a turn. The listener's limit follows from the descriptors; from seven eighths on it closes the oldest connection without a request.

--- a/dragonflyshelf/runtime/callers/channel.py
+++ b/dragonflyshelf/runtime/callers/channel.py
@@ -9,9 +9,9 @@
 from dragonflyshelf.runtime import sockets
 
 FLUSH_THRESHOLD_BYTES = 16384
-"""Encoded events of at least this size are written at once.
+"""Encoded events are written at once when they have this size.
 
-Smaller ones are written together by the next flush.
+Until then they are written together by the next flush.
 """
 
 
@@ -28,6 +28,8 @@
         self.config = config
         self._transport: asyncio.Transport | None = None
         self._write_buffer: list[bytes] = []
+        self._pending_bytes = 0
+        self._written_bytes = 0
         self.http = self._new_http()
 
     def _new_http(self) -> h11.Connection:
@@ -54,6 +56,23 @@
         """Return whether the write buffer is above its high-water mark."""
         return sockets.is_write_buffer_full(self._transport)
 
+    @property
+    def unparsed_bytes(self) -> int:
+        """Return how many received bytes are not parsed yet."""
+        return len(self.http.trailing_data[0])
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Return how many bytes wait to be sent."""
+        if self._transport is None:
+            return 0
+        return self._pending_bytes + self._transport.get_write_buffer_size()
+
+    @property
+    def sent_bytes(self) -> int:
+        """Return how many bytes the caller's machine has taken so far."""
+        return self._written_bytes - self.unsent_bytes
+
     @property
     def has_partial_head(self) -> bool:
         """Return whether part of the next request head was received."""
@@ -82,7 +101,9 @@
         if not data:
             return
         self._write_buffer.append(data)
-        if len(data) >= FLUSH_THRESHOLD_BYTES:
+        self._pending_bytes += len(data)
+        self._written_bytes += len(data)
+        if self._pending_bytes >= FLUSH_THRESHOLD_BYTES:
             self.flush()
 
     def flush(self) -> None:
@@ -90,6 +111,7 @@
         if self._write_buffer and self._transport is not None:
             self._transport.write(b"".join(self._write_buffer))
         self._write_buffer = []
+        self._pending_bytes = 0
 
     def set_reading_paused(self, is_paused: bool) -> None:
         """Pause or resume reading."""
@@ -101,15 +123,24 @@
             self._transport.resume_reading()
 
     def half_close(self) -> None:
-        """Flush, close the sending side and resume reading."""
+        """Flush, close the sending side and resume reading.
+
+        The connection is reset if its peer has reset it already.
+        """
         self.flush()
-        if self._transport is not None:
+        if self._transport is None:
+            return
+        try:
             self._transport.write_eof()
-            self._transport.resume_reading()
+        except OSError:
+            self.abort()
+            return
+        self._transport.resume_reading()
 
     def abort(self) -> None:
         """Reset the connection and discard the unsent bytes."""
         self._write_buffer = []
+        self._pending_bytes = 0
         if self._transport is not None:
             sockets.reset(self._transport)
             self._transport = None
--- a/dragonflyshelf/runtime/callers/connection.py
+++ b/dragonflyshelf/runtime/callers/connection.py
@@ -10,6 +10,8 @@
 from dragonflyshelf.codec import http
 from dragonflyshelf.core import errors
 from dragonflyshelf.core import ids
+from dragonflyshelf.core.memory import limits
+from dragonflyshelf.core.memory import messages as memory_messages
 from dragonflyshelf.core import messages
 from dragonflyshelf.core import registry
 from dragonflyshelf.core import settings
@@ -20,6 +22,7 @@
 from dragonflyshelf.runtime.callers import messages as caller_messages
 from dragonflyshelf.runtime.callers import timeouts
 from dragonflyshelf.runtime import inbox
+from dragonflyshelf.runtime import memory
 from dragonflyshelf.runtime import messages as runtime_messages
 from dragonflyshelf.runtime import sockets
 from dragonflyshelf.runtime import task
@@ -42,6 +45,12 @@
 MAX_PIPELINED_REQUEST_COUNT = 8
 """Maximum number of unfinished exchanges of one connection."""
 
+MAX_EVENTS_PER_TURN = 64
+"""Events of the parser after which other connections have their turn.
+
+Parsing a tiny chunk of a body takes as long as a large one.
+"""
+
 REQUEST_ID_BYTES = 8
 """Random bytes in the id that is generated for a request without one."""
 
@@ -67,9 +76,13 @@
         router: inbox.Inbox,
         listener: inbox.Inbox,
         next_exchange_id: abc.Callable[[], ids.ExchangeId],
+        make_reporter: memory.ReporterFactory,
+        memory_limits: limits.MemoryLimits,
     ) -> None:
         """Create the task; the socket arrives as a message."""
         super().__init__("caller", config.requests.inbox_messages)
+        self._holding = make_reporter(self.inbox)
+        self._share_bytes = memory_limits.share_bytes
         self._config = config.requests
         self._header_names = header_names
         self._access_log = diagnostics.AccessLog(config.log)
@@ -84,11 +97,15 @@
         self._draining = False
         self._accepts_input = True
         self._lingering = False
-        self._read_ahead_bytes = 0
+        self._discarded_bytes = 0
+        self._forwarded_bytes = 0
+        self._sent_bytes_at_timeout = 0
+        self._is_parsing_postponed = False
 
     @task.handles(sockets.SocketOpened)
     def _on_socket_opened(self, message: sockets.SocketOpened) -> None:
         self._channel.connection_made(message.transport)
+        self._holding.open()
         if self._connection_refusal is not None:
             self._refuse(self._append_exchange(), self._connection_refusal)
             return
@@ -111,14 +128,38 @@
 
     @task.handles(sockets.DataReceived)
     def _on_data_received(self, message: sockets.DataReceived) -> None:
-        self._read_ahead_bytes += len(message.data)
         if self._lingering or not self._accepts_input:
-            if self._read_ahead_bytes > MAX_LINGER_BYTES:
+            self._discarded_bytes += len(message.data)
+            if self._discarded_bytes > MAX_LINGER_BYTES:
                 self._abort()
             return
         self._channel.http.receive_data(message.data)
         self._process_events()
 
+    @task.handles(caller_messages.ContinueParsing)
+    def _on_continue_parsing(
+        self, message: caller_messages.ContinueParsing
+    ) -> None:
+        self._is_parsing_postponed = False
+        self._process_events()
+
+    @task.handles(memory_messages.Release)
+    def _on_release(self, message: memory_messages.Release) -> None:
+        """Close to free memory, unless it was freed in the meantime."""
+        held_bytes = self._find_held_bytes()
+        if held_bytes < message.held_bytes / 2:
+            self._holding.report_now(held_bytes, self._find_moved_bytes())
+        elif held_bytes:
+            self._abort()
+        else:
+            self._stop()
+
+    @task.handles(caller_messages.CloseIfIdle)
+    def _on_close_if_idle(self, message: caller_messages.CloseIfIdle) -> None:
+        is_idle = not self._exchanges and not self._lingering
+        if is_idle and self._channel.is_open:
+            self._stop()
+
     @task.handles(sockets.EofReceived)
     def _on_eof_received(self, message: sockets.EofReceived) -> None:
         if self._lingering or not self._exchanges:
@@ -155,6 +196,8 @@
     def _on_write_resumed(self, message: sockets.WriteResumed) -> None:
         if self._exchanges:
             self._return_credit(self._exchanges[0], 0)
+        elif self._timer.kind is timeouts.TimeoutKind.WRITE:
+            self._start_idle_or_write_timeout()
         if not self._lingering:
             self._process_events()
 
@@ -210,7 +253,7 @@
         if caller_exchange is None:
             return
         caller_exchange.unacknowledged_bytes -= message.size
-        self._pause_or_resume_reading()
+        self._forwarded_bytes += message.size
 
     @task.handles(messages.ResponseHead)
     def _on_response_head(self, message: messages.ResponseHead) -> None:
@@ -230,6 +273,15 @@
         if caller_exchange is not None:
             self._refuse(caller_exchange, message.error)
 
+    def on_messages_handled(self) -> None:
+        """Report what is held, and read no more while it is too much."""
+        if self._channel.is_open:
+            held_bytes = self._find_held_bytes()
+            self._holding.report(held_bytes, self._find_moved_bytes())
+            self._channel.set_reading_paused(
+                self._must_pause_reading(held_bytes)
+            )
+
     def on_failure(self) -> None:
         """Reset the connection.
 
@@ -246,6 +298,7 @@
         ):
             self._channel.abort()
         self._channel.close()
+        self._holding.end()
         self._listener.post(caller_messages.ConnectionEnded(inbox=self.inbox))
 
     def _find_exchange(self, exchange_id: ids.ExchangeId) -> Exchange | None:
@@ -274,28 +327,42 @@
             or len(self._exchanges) >= MAX_PIPELINED_REQUEST_COUNT
         ):
             return False
+        if self._channel.is_write_buffer_full:
+            return False
         if not self._exchanges:
-            return not self._channel.is_write_buffer_full
+            return True
         return not self._draining and self._exchanges[-1].is_pipelinable
 
     def _process_events(self) -> None:
-        while self._channel.is_open and not self._lingering:
-            if not self._may_parse():
-                break
-            try:
-                event = self._channel.next_event()
-            except errors.RouterError as error:
-                self._refuse_incoming(error)
-                break
-            except h11.RemoteProtocolError as error:
-                outcome = self._cancel_incoming()
-                self._refuse_incoming(http.protocol_error(error, outcome))
-                break
-            if event is h11.NEED_DATA or event is h11.PAUSED:
-                self._start_head_timeout()
+        if self._is_parsing_postponed:
+            return
+        for _ in range(MAX_EVENTS_PER_TURN):
+            if not self._process_event():
                 break
-            self._on_http_event(event)
-        self._pause_or_resume_reading()
+        else:
+            self._is_parsing_postponed = True
+            self.post_later(0.0, caller_messages.ContinueParsing())
+
+    def _process_event(self) -> bool:
+        """Process the next event; return whether to go on."""
+        if not self._channel.is_open or self._lingering:
+            return False
+        if not self._may_parse():
+            return False
+        try:
+            event = self._channel.next_event()
+        except errors.RouterError as error:
+            self._refuse_incoming(error)
+            return False
+        except h11.RemoteProtocolError as error:
+            outcome = self._cancel_incoming()
+            self._refuse_incoming(http.protocol_error(error, outcome))
+            return False
+        if event is h11.NEED_DATA or event is h11.PAUSED:
+            self._start_head_timeout()
+            return False
+        self._on_http_event(event)
+        return True
 
     def _on_http_event(self, event: h11.Event) -> None:
         if isinstance(event, h11.Request):
@@ -320,6 +387,9 @@
         caller_exchange = self._append_exchange()
         self._incoming_exchange = caller_exchange
         caller_exchange.method = event.method
+        caller_exchange.head_size = len(event.target) + sum(
+            len(name) + len(value) for name, value in event.headers
+        )
         request_id = ids.RequestId(secrets.token_hex(REQUEST_ID_BYTES))
         try:
             caller_exchange.head = http.parse_request_head(
@@ -336,7 +406,6 @@
         except errors.RouterError as error:
             self._refuse_incoming(error)
             return
-        self._read_ahead_bytes = 0
         if len(self._exchanges) == 1:
             self._start_timeout(
                 timeouts.TimeoutKind.BODY, self._config.read_timeout
@@ -386,7 +455,6 @@
     def _on_body_end(self, caller_exchange: Exchange) -> None:
         caller_exchange.body_complete = True
         self._incoming_exchange = None
-        self._read_ahead_bytes = 0
         if caller_exchange is self._exchanges[0]:
             self._start_response_timeout(caller_exchange)
         if caller_exchange.target is not None and caller_exchange.has_body:
@@ -413,16 +481,36 @@
             messages.BodyChunk(exchange=caller_exchange.id, data=data)
         )
 
-    def _pause_or_resume_reading(self) -> None:
+    def _must_pause_reading(self, held_bytes: int) -> bool:
+        """Return whether no more is to be read while so much is held.
+
+        While lingering, all that arrives is discarded.
+        """
+        if self._lingering or not self._accepts_input:
+            return False
+        if self._is_parsing_postponed:
+            return True
+        if held_bytes > self._share_bytes:
+            return True
         if self._incoming_exchange is not None:
-            self._channel.set_reading_paused(
-                self._incoming_exchange.is_window_full
+            return self._incoming_exchange.is_window_full
+        return self._channel.unparsed_bytes > self._config.head_bytes
+
+    def _find_held_bytes(self) -> int:
+        """Return the memory that is held for this connection."""
+        return (
+            self._channel.unparsed_bytes
+            + self._channel.unsent_bytes
+            + sum(
+                caller_exchange.held_bytes
+                for caller_exchange in self._exchanges
             )
-            return
-        self._channel.set_reading_paused(
-            self._read_ahead_bytes > self._config.head_bytes
         )
 
+    def _find_moved_bytes(self) -> int:
+        """Return how much the caller and upstreams have taken so far."""
+        return self._channel.sent_bytes + self._forwarded_bytes
+
     def _on_response_part(
         self, message: runtime_messages.ResponsePart
     ) -> None:
@@ -430,7 +518,7 @@
         if caller_exchange is None:
             return
         if caller_exchange is not self._exchanges[0]:
-            caller_exchange.deferred_parts.append(message)
+            caller_exchange.defer(message)
             return
         self._forward_response(caller_exchange, message)
 
@@ -497,6 +585,14 @@
         """
         self._stop()
 
+    @TIMEOUT_HANDLERS.register(timeouts.TimeoutKind.WRITE)
+    def _on_write_timeout(self) -> None:
+        """Reset the connection if its caller takes nothing any more."""
+        if self._channel.sent_bytes == self._sent_bytes_at_timeout:
+            self._abort()
+            return
+        self._start_idle_or_write_timeout()
+
     @TIMEOUT_HANDLERS.register(timeouts.TimeoutKind.LINGER)
     def _on_linger_timeout(self) -> None:
         self._abort()
@@ -557,7 +653,7 @@
     ) -> None:
         if caller_exchange is not self._exchanges[0]:
             caller_exchange.deferred_refusal = error
-            caller_exchange.deferred_parts.clear()
+            caller_exchange.take_deferred()
             return
         if caller_exchange.response_started:
             self._abort()
@@ -594,10 +690,19 @@
         if self._draining or not self._accepts_input:
             self._start_lingering()
             return
+        self._start_idle_or_write_timeout()
+        self._process_events()
+
+    def _start_idle_or_write_timeout(self) -> None:
+        if self._channel.is_write_buffer_full:
+            self._sent_bytes_at_timeout = self._channel.sent_bytes
+            self._start_timeout(
+                timeouts.TimeoutKind.WRITE, self._config.write_timeout
+            )
+            return
         self._start_timeout(
             timeouts.TimeoutKind.IDLE, self._config.idle_timeout
         )
-        self._process_events()
 
     def _serve_next_exchange(self) -> None:
         """Write the deferred response of the exchange that is now first."""
@@ -609,9 +714,7 @@
             self._start_timeout(
                 timeouts.TimeoutKind.BODY, self._config.read_timeout
             )
-        deferred_parts = caller_exchange.deferred_parts
-        caller_exchange.deferred_parts = []
-        for message in deferred_parts:
+        for message in caller_exchange.take_deferred():
             if self._exchanges and self._exchanges[0] is caller_exchange:
                 self._forward_response(caller_exchange, message)
         if (
@@ -625,7 +728,6 @@
     def _end_exchange(self, caller_exchange: Exchange) -> None:
         self._cancel(caller_exchange)
         self._access_log.record(caller_exchange, self.now)
-        self._read_ahead_bytes = 0
 
     def _cancel(self, caller_exchange: Exchange) -> None:
         if not caller_exchange.routed:
--- a/dragonflyshelf/runtime/callers/exchange.py
+++ b/dragonflyshelf/runtime/callers/exchange.py
@@ -1,6 +1,7 @@
 """State of one exchange on a caller connection."""
 
 import dataclasses
+from typing import Final
 
 import h11
 
@@ -15,6 +16,15 @@
 SAFE_METHODS = frozenset({b"GET", b"HEAD", b"OPTIONS"})
 """Methods of requests that may be routed before earlier ones finish."""
 
+EXCHANGE_BYTES: Final = 4096
+"""Memory of an exchange beside what it holds."""
+
+PIECE_BYTES: Final = 128
+"""Memory of a piece of a body beside its data."""
+
+UPSTREAM_BUFFER_BYTES: Final = 65536
+"""Part of a forwarded body that may wait in the buffer to the upstream."""
+
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class CallerExchange:
@@ -26,8 +36,9 @@
     afterwards the body is kept for a retry if it does not exceed the
     setting ``replay_bytes``. ``deferred_parts`` and ``deferred_refusal``
     are the response as far as it was received before the responses to
-    earlier requests were complete. ``pending_credit`` is withheld while
-    the write buffer of the connection is full.
+    earlier requests were complete, ``deferred_bytes`` its size.
+    ``pending_credit`` is withheld while the write buffer of the connection
+    is full. ``buffered_bytes`` is the memory of ``buffered_chunks``.
     """
 
     config: settings.RequestSettings
@@ -41,7 +52,10 @@
     deferred_parts: list[runtime_messages.ResponsePart] = dataclasses.field(
         default_factory=list
     )
+    deferred_bytes: int = 0
     deferred_refusal: errors.RouterError | None = None
+    head_size: int = 0
+    buffered_bytes: int = 0
     body_size: int = 0
     body_complete: bool = False
     body_discarded: bool = False
@@ -56,6 +70,7 @@
     def add_chunk(self, data: bytes) -> None:
         """Add a chunk of the request body."""
         self.body_size += len(data)
+        self.buffered_bytes += len(data) + PIECE_BYTES
         self.buffered_chunks.append(data)
         if self.target is not None:
             self.discard_unreplayable_body()
@@ -64,8 +79,40 @@
         """Discard the buffered body if it is too large for a retry."""
         if self.body_size > self.config.replay_bytes:
             self.buffered_chunks = []
+            self.buffered_bytes = 0
             self.body_discarded = True
 
+    def defer(self, part: runtime_messages.ResponsePart) -> None:
+        """Keep a part of the response until earlier ones are complete."""
+        self.deferred_parts.append(part)
+        self.deferred_bytes += PIECE_BYTES
+        if isinstance(part, messages.ResponseChunk):
+            self.deferred_bytes += len(part.data)
+
+    def take_deferred(self) -> list[runtime_messages.ResponsePart]:
+        """Return the parts that were kept, which are no longer."""
+        parts = self.deferred_parts
+        self.deferred_parts = []
+        self.deferred_bytes = 0
+        return parts
+
+    @property
+    def held_bytes(self) -> int:
+        """Return the memory that the exchange holds."""
+        forwarded_bytes = 0
+        if self.target is not None:
+            forwarded_bytes = self.unacknowledged_bytes + min(
+                self.body_size - self.unacknowledged_bytes,
+                UPSTREAM_BUFFER_BYTES,
+            )
+        return (
+            EXCHANGE_BYTES
+            + self.head_size
+            + self.buffered_bytes
+            + self.deferred_bytes
+            + forwarded_bytes
+        )
+
     @property
     def has_body(self) -> bool:
         """Return whether the request has a body."""
--- a/dragonflyshelf/runtime/callers/listener.py
+++ b/dragonflyshelf/runtime/callers/listener.py
@@ -8,22 +8,24 @@
 from dragonflyshelf.codec import http
 from dragonflyshelf.core import errors
 from dragonflyshelf.core import ids
+from dragonflyshelf.core.memory import limits
 from dragonflyshelf.core import settings
 from dragonflyshelf.runtime.callers import connection
 from dragonflyshelf.runtime.callers import messages
 from dragonflyshelf.runtime import inbox
+from dragonflyshelf.runtime import limit_log
+from dragonflyshelf.runtime import memory
 from dragonflyshelf.runtime import sockets
 from dragonflyshelf.runtime import task
 
 LISTEN_BACKLOG_COUNT = 1024
 """Limit on connections that the kernel queues until they are accepted."""
 
-MAX_REFUSED_CONNECTION_COUNT = 256
-"""Limit on open connections above the setting ``connections``.
+READ_BYTES = 16384
+"""Most that is read from a caller at once."""
 
-These get an error response. Further connections are aborted without a
-response.
-"""
+CROWDED_RATIO = 7 / 8
+"""Part of the connections from which idle ones are closed."""
 
 
 class AbortingProtocol(asyncio.Protocol):
@@ -43,10 +45,14 @@
         router: inbox.Inbox,
         next_exchange_id: abc.Callable[[], ids.ExchangeId],
         header_names: http.HeaderNames = http.DEFAULT_HEADER_NAMES,
+        make_reporter: memory.ReporterFactory = memory.make_silent_reporter,
     ) -> None:
         """Create the listener; it binds in ``async_listen``."""
         super().__init__("caller-listener")
         self._config = config
+        self._limits = limits.derive(config)
+        self._make_reporter = make_reporter
+        self._limit_log = limit_log.LimitLog("connections")
         self._header_names = header_names
         self._router = router
         self._next_exchange_id = next_exchange_id
@@ -60,23 +66,28 @@
 
     async def async_listen(self, host: str, port: int) -> None:
         """Bind the address and accept connections."""
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            self._accept, host, port, backlog=LISTEN_BACKLOG_COUNT
+        self._server = await sockets.async_create_server(
+            self._accept, host, port, LISTEN_BACKLOG_COUNT
         )
         self.port = self._server.sockets[0].getsockname()[1]
 
-    def _accept(self) -> asyncio.Protocol:
+    def _accept(self) -> asyncio.BaseProtocol:
         connection_task = connection.CallerConnectionTask(
             self._config,
             self._header_names,
             self._router,
             self.inbox,
             self._next_exchange_id,
+            self._make_reporter,
+            self._limits,
         )
         open_count = len(self._connections_by_inbox)
-        excess_count = open_count - self._config.requests.connections
-        if excess_count >= MAX_REFUSED_CONNECTION_COUNT:
+        excess_count = open_count - self._limits.caller_connections
+        if open_count >= self._limits.caller_connections * CROWDED_RATIO:
+            self._close_oldest_if_idle()
+        if excess_count >= 0:
+            self._limit_log.record(self.now)
+        if excess_count >= self._limits.refused_connections:
             return AbortingProtocol()
         if excess_count >= 0:
             error = errors.TooManyConnections("too many connections")
@@ -85,7 +96,19 @@
             connection_task.inbox.post(messages.DisableConnectionKeepAlive())
         self._connections_by_inbox[connection_task.inbox] = connection_task
         connection_task.start()
-        return sockets.SocketProtocol(connection_task.inbox)
+        return sockets.SocketProtocol(connection_task.inbox, READ_BYTES)
+
+    def _close_oldest_if_idle(self) -> None:
+        """Make room for a new connection.
+
+        One that isn't idle is asked again after all others.
+        """
+        for oldest_inbox in self._connections_by_inbox:
+            oldest_inbox.post(messages.CloseIfIdle())
+            self._connections_by_inbox[oldest_inbox] = (
+                self._connections_by_inbox.pop(oldest_inbox)
+            )
+            break
 
     @task.handles(messages.ConnectionEnded)
     def _on_connection_ended(self, message: messages.ConnectionEnded) -> None:
@@ -99,6 +122,7 @@
         self._config = dataclasses.replace(
             self._config, requests=message.requests
         )
+        self._limits = limits.derive(self._config)
         self._broadcast(message)
 
     @task.handles(settings.SettingsChanged)
@@ -107,6 +131,7 @@
         self._config = dataclasses.replace(
             message.settings, requests=self._config.requests
         )
+        self._limits = limits.derive(self._config)
 
     @task.handles(messages.DisableKeepAlive)
     def _on_disable_keep_alive(
--- a/dragonflyshelf/runtime/callers/messages.py
+++ b/dragonflyshelf/runtime/callers/messages.py
@@ -58,6 +58,16 @@
     error: errors.RouterError
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CloseIfIdle:
+    """Close the connection unless it has read the head of a request."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ContinueParsing:
+    """Parse more of the bytes that have been received."""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class TimerFired:
     """The timer of the connection has fired."""
--- a/dragonflyshelf/runtime/callers/timeouts.py
+++ b/dragonflyshelf/runtime/callers/timeouts.py
@@ -16,6 +16,7 @@
     HEAD = "head"
     IDLE = "idle"
     LINGER = "linger"
+    WRITE = "write"
 
 
 class TimeoutTimer:
--- a/dragonflyshelf/runtime/gateway/server.py
+++ b/dragonflyshelf/runtime/gateway/server.py
@@ -13,6 +13,7 @@
 from dragonflyshelf.core import addresses
 from dragonflyshelf.core.grantor import objects as grantor
 from dragonflyshelf.core import ids
+from dragonflyshelf.core.memory import limits
 from dragonflyshelf.core import settings
 from dragonflyshelf.platform import names
 from dragonflyshelf.runtime.callers import listener
@@ -21,6 +22,7 @@
 from dragonflyshelf.runtime.gateway import router
 from dragonflyshelf.runtime.grantor import calls
 from dragonflyshelf.runtime import hangup
+from dragonflyshelf.runtime import memory
 from dragonflyshelf.runtime.relay import client
 from dragonflyshelf.runtime.relay import server as relay
 from dragonflyshelf.runtime import reload
@@ -37,6 +39,7 @@
 
     callers: listener.CallerListenerTask
     control: control.ControlTask
+    memory: memory.MemoryTask
     router: router.RouterTask
     shutdown: shutdown.ShutdownTask
 
@@ -57,8 +60,13 @@
     )
     control_task = control.ControlTask(config, own_lease)
     router_task = router.RouterTask(config, names.HEADERS)
+    memory_task = memory.MemoryTask(limits.derive(config).sum_bytes)
     listener_task = listener.CallerListenerTask(
-        config, router_task.inbox, router_task.next_exchange_id, names.HEADERS
+        config,
+        router_task.inbox,
+        router_task.next_exchange_id,
+        names.HEADERS,
+        memory_task.make_reporter,
     )
     watch_task = watch.StoreWatchTask(config.store, control_task.inbox)
     write_task = write.StoreWriteTask(config.store, control_task.inbox)
@@ -102,6 +110,7 @@
             entry_address.host, entry_address.port
         )
         for instance_task in (
+            memory_task,
             router_task,
             listener_task,
             watch_task,
@@ -120,6 +129,7 @@
         yield Server(
             callers=listener_task,
             control=control_task,
+            memory=memory_task,
             router=router_task,
             shutdown=shutdown_task,
         )
@@ -134,6 +144,7 @@
         server.router.inbox,
         server.control.inbox,
         server.callers.inbox,
+        server.memory.inbox,
     )
     reload_task = reload.ReloadTask(config, path, receivers)
     async with reload_task.async_running():
--- a/dragonflyshelf/runtime/task.py
+++ b/dragonflyshelf/runtime/task.py
@@ -107,6 +107,8 @@
     def _handle_messages(self) -> None:
         while self.inbox and not self.is_stopping:
             self._handle_message(self.inbox.pop())
+        if not self.is_stopping:
+            self.on_messages_handled()
         if self.is_stopping and self._stop_future is not None:
             if not self._stop_future.done():
                 self._stop_future.set_result(None)
@@ -130,6 +132,9 @@
             )
             self.on_failure()
 
+    def on_messages_handled(self) -> None:
+        """React to the end of the queued messages; does nothing by default."""
+
     def on_failure(self) -> None:
         """React to an exception in a handler; does nothing by default."""
 
--- a/tests/runtime/callers/fakes.py
+++ b/tests/runtime/callers/fakes.py
@@ -13,6 +13,7 @@
 from dragonflyshelf.runtime.callers import listener
 from dragonflyshelf.runtime.callers import messages as callers
 from dragonflyshelf.runtime import inbox
+from dragonflyshelf.runtime import memory
 from dragonflyshelf.runtime import messages as runtime_messages
 
 TIMEOUT_SECONDS = 20.0
@@ -62,7 +63,11 @@
 class ListenerHarness:
     """Caller listener with the inboxes of its router and target."""
 
-    def __init__(self, config: settings.Settings) -> None:
+    def __init__(
+        self,
+        config: settings.Settings,
+        make_reporter: memory.ReporterFactory,
+    ) -> None:
         """Create the listener; it is not running yet."""
         exchange_numbers = itertools.count(1)
         self.router = inbox.Inbox("router")
@@ -72,6 +77,7 @@
             config,
             self.router,
             lambda: ids.ExchangeId(next(exchange_numbers)),
+            make_reporter=make_reporter,
         )
 
     @contextlib.asynccontextmanager
@@ -153,10 +159,11 @@
 
 @contextlib.asynccontextmanager
 async def async_run_listener(
+    make_reporter: memory.ReporterFactory = memory.make_silent_reporter,
     **options: Any,
 ) -> abc.AsyncIterator[ListenerHarness]:
     """Run a listener for the duration of a ``with`` block."""
-    harness = ListenerHarness(make_settings(**options))
+    harness = ListenerHarness(make_settings(**options), make_reporter)
     await harness.listener.async_listen(HOST, 0)
     async with harness.listener.async_running():
         yield harness
