Limit the clients of the ready path and the metrics

Cause: the server for readiness and metrics had no limit on connections and no deadline. A connection that was closed with unsent bytes stayed for ever if its client read nothing.

Change: its connections count in the account of bytes; beyond the limit that follows from the descriptors, the oldest one that waits for its client is reset; 15 s for a request and 5 s for a response, and 2 s for the last response of a closing connection. Stand-ins use the server without limits.

--- a/dragonflyshelf/runtime/gateway/health.py
+++ b/dragonflyshelf/runtime/gateway/health.py
@@ -6,8 +6,16 @@
 
 from dragonflyshelf.platform import names
 from dragonflyshelf.runtime import http_server
+from dragonflyshelf.runtime import memory
 
 PATH_METRICS = "/metrics"
+READ_TIMEOUT_SECONDS = 15.0
+"""Time for a client to send its next request."""
+
+WRITE_TIMEOUT_SECONDS = 5.0
+"""Time for a client to take a response."""
+
+MAX_BODY_BYTES = 1024
 STATUS_OK = 200
 STATUS_NOT_FOUND = 404
 STATUS_NOT_READY = 503
@@ -16,15 +24,34 @@
 class HealthListener:
     """Serves the readiness and the metrics of this instance."""
 
-    def __init__(self, is_ready: abc.Callable[[], bool]) -> None:
-        """Create the listener; ``async_listen`` binds its ports."""
+    def __init__(
+        self,
+        is_ready: abc.Callable[[], bool],
+        max_connection_count: int,
+        make_reporter: memory.ReporterFactory,
+    ) -> None:
+        """Create the listener; ``async_listen`` binds its ports.
+
+        ``max_connection_count`` is per port.
+        """
         self._is_ready = is_ready
+        self._limits = http_server.ServerLimits(
+            connections=max_connection_count,
+            read_timeout=READ_TIMEOUT_SECONDS,
+            write_timeout=WRITE_TIMEOUT_SECONDS,
+        )
+        self._make_reporter = make_reporter
         self._servers: list[http_server.HttpServer] = []
 
     async def async_listen(self, host: str, *ports: int) -> None:
         """Bind the ports and start accepting connections."""
         for port in ports:
-            server = http_server.HttpServer(self._async_handle)
+            server = http_server.HttpServer(
+                self._async_handle,
+                MAX_BODY_BYTES,
+                self._limits,
+                self._make_reporter,
+            )
             await server.async_listen(host, port)
             self._servers.append(server)
 
--- a/dragonflyshelf/runtime/gateway/server.py
+++ b/dragonflyshelf/runtime/gateway/server.py
@@ -60,7 +60,8 @@
     )
     control_task = control.ControlTask(config, own_lease)
     router_task = router.RouterTask(config, names.HEADERS)
-    memory_task = memory.MemoryTask(limits.derive(config).sum_bytes)
+    memory_limits = limits.derive(config)
+    memory_task = memory.MemoryTask(memory_limits.sum_bytes)
     listener_task = listener.CallerListenerTask(
         config,
         router_task.inbox,
@@ -96,7 +97,11 @@
             requests=router_task.exchange_count,
         ),
     )
-    health_listener = health.HealthListener(lambda: control_task.is_ready)
+    health_listener = health.HealthListener(
+        lambda: control_task.is_ready,
+        memory_limits.health_connections,
+        memory_task.make_reporter,
+    )
     async with contextlib.AsyncExitStack() as stack:
         stack.callback(health_listener.close)
         ready_ports = [ready_address.port]
--- a/dragonflyshelf/runtime/http_server.py
+++ b/dragonflyshelf/runtime/http_server.py
@@ -2,13 +2,30 @@
 
 import asyncio
 from collections import abc
+import contextlib
 import dataclasses
+from typing import Final
 
 import h11
 
+from dragonflyshelf.core import ids
+from dragonflyshelf.runtime import inbox
+from dragonflyshelf.runtime import limit_log
+from dragonflyshelf.runtime import memory
+from dragonflyshelf.runtime import sockets
+
 READ_CHUNK_BYTES = 65536
 """Maximum size of one read from the socket."""
 
+LISTEN_BACKLOG_COUNT = 100
+"""Limit on connections that the kernel queues until they are accepted."""
+
+CONNECTION_BYTES = 4 * READ_CHUNK_BYTES
+"""Memory that a connection may hold: received, unparsed and unsent bytes."""
+
+LINGER_SECONDS = 2.0
+"""Time in which a closing connection delivers its last response."""
+
 DEFAULT_MAX_BODY_BYTES = 1024 * 1024
 """A request with a longer body closes its connection without a response."""
 
@@ -34,6 +51,27 @@
     headers: tuple[tuple[str, str], ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ServerLimits:
+    """Limits on the clients of a server; without them it trusts them.
+
+    Beyond ``connections`` the oldest one that waits for a request or for
+    its client is reset. ``read_timeout`` is the time in which a client
+    sends its next request, ``write_timeout`` that in which it takes a
+    response.
+    """
+
+    connections: int
+    read_timeout: float
+    write_timeout: float
+
+
+NO_LIMITS: Final = ServerLimits(
+    connections=1000000,
+    read_timeout=float("inf"),
+    write_timeout=float("inf"),
+)
+
 Handler = abc.Callable[[ServerRequest], abc.Awaitable[ServerResponse]]
 
 
@@ -41,21 +79,35 @@
     """Passes requests to a handler; each connection has its own task."""
 
     def __init__(
-        self, handler: Handler, max_body_bytes: int = DEFAULT_MAX_BODY_BYTES
+        self,
+        handler: Handler,
+        max_body_bytes: int = DEFAULT_MAX_BODY_BYTES,
+        limits: ServerLimits = NO_LIMITS,
+        make_reporter: memory.ReporterFactory = memory.make_silent_reporter,
     ) -> None:
         """Create a server that is not listening yet."""
         self._handler = handler
         self._max_body_bytes = max_body_bytes
+        self._limits = limits
+        self._make_reporter = make_reporter
+        self._limit_log = limit_log.LimitLog("health_connections")
+        self._waiting_transports: dict[asyncio.Transport, None] = {}
+        self._connection_count = 0
         self._server: asyncio.Server | None = None
         self.port = 0
 
     async def async_listen(self, host: str, port: int) -> None:
         """Bind the address and start accepting connections."""
-        self._server = await asyncio.start_server(
-            self._async_serve_connection, host, port
+        self._server = await sockets.async_create_server(
+            self._make_protocol, host, port, LISTEN_BACKLOG_COUNT
         )
         self.port = self._server.sockets[0].getsockname()[1]
 
+    def _make_protocol(self) -> asyncio.Protocol:
+        return asyncio.StreamReaderProtocol(
+            asyncio.StreamReader(), self._async_serve_connection
+        )
+
     def close(self) -> None:
         """Stop accepting connections."""
         if self._server is not None:
@@ -65,13 +117,56 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         http = h11.Connection(h11.SERVER)
+        with self._counted(writer.transport):
+            try:
+                while await self._async_serve_request(http, reader, writer):
+                    http.start_next_cycle()
+            except TimeoutError:
+                sockets.reset(writer.transport)
+            except (OSError, h11.ProtocolError):
+                return
+            finally:
+                sockets.close_within(writer.transport, LINGER_SECONDS)
+
+    @contextlib.contextmanager
+    def _counted(self, transport: asyncio.Transport) -> abc.Iterator[None]:
+        """Count a connection; make room for it if there are too many."""
+        owner = inbox.Inbox("http-connection")
+        owner.attach(lambda: sockets.reset(transport))
+        reporter = self._make_reporter(owner)
+        self._connection_count += 1
+        if self._connection_count > self._limits.connections:
+            self._reset_oldest_waiting()
+        reporter.open()
+        reporter.report_now(CONNECTION_BYTES, 0)
+        try:
+            yield
+        finally:
+            self._connection_count -= 1
+            owner.detach()
+            reporter.end()
+
+    def _reset_oldest_waiting(self) -> None:
+        self._limit_log.record(ids.Instant(asyncio.get_running_loop().time()))
+        for transport in self._waiting_transports:
+            del self._waiting_transports[transport]
+            sockets.reset(transport)
+            break
+
+    @contextlib.asynccontextmanager
+    async def _async_waiting(
+        self, transport: asyncio.Transport, seconds: float
+    ) -> abc.AsyncIterator[None]:
+        """Let a connection wait for its client for a limited time.
+
+        Raises ``TimeoutError`` after that.
+        """
+        self._waiting_transports[transport] = None
         try:
-            while await self._async_serve_request(http, reader, writer):
-                http.start_next_cycle()
-        except (OSError, h11.ProtocolError):
-            return
+            async with asyncio.timeout(seconds):
+                yield
         finally:
-            writer.close()
+            self._waiting_transports.pop(transport, None)
 
     async def _async_serve_request(
         self,
@@ -79,7 +174,10 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> bool:
-        request = await self._async_read_request(http, reader)
+        async with self._async_waiting(
+            writer.transport, self._limits.read_timeout
+        ):
+            request = await self._async_read_request(http, reader)
         if request is None:
             return False
         response = await self._async_handle(http, request, reader)
@@ -98,7 +196,10 @@
             data += http.send(h11.Data(data=response.body)) or b""
         data += http.send(h11.EndOfMessage()) or b""
         writer.write(data)
-        await writer.drain()
+        async with self._async_waiting(
+            writer.transport, self._limits.write_timeout
+        ):
+            await writer.drain()
         return http.our_state is h11.DONE and http.their_state is h11.DONE
 
     async def _async_handle(
