Drop what arrives after a pipelined request was refused

Cause: a request that is not the first of its connection and is refused had the parts of its response cleared, but parts that arrived afterwards were kept. They were written without a head when its turn came, which failed and reset the connection with the complete responses behind it.

Change: after a refusal the rest of a response is dropped; the first refusal counts; a complete response that waits for its turn is sent, also if a refusal or the half-close of its caller comes later.

--- a/dragonflyshelf/runtime/callers/connection.py
+++ b/dragonflyshelf/runtime/callers/connection.py
@@ -643,7 +643,12 @@
         error_type: type[errors.RouterError],
         text: str,
     ) -> None:
-        """Cancel the exchange and refuse its request with an error."""
+        """Cancel the exchange and refuse its request with an error.
+
+        A complete response that waits for earlier ones is still sent.
+        """
+        if caller_exchange.is_response_ready:
+            return
         outcome = caller_exchange.outcome
         self._cancel(caller_exchange)
         self._refuse(caller_exchange, error_type(text, outcome=outcome))
@@ -652,8 +657,7 @@
         self, caller_exchange: Exchange, error: errors.RouterError
     ) -> None:
         if caller_exchange is not self._exchanges[0]:
-            caller_exchange.deferred_refusal = error
-            caller_exchange.take_deferred()
+            caller_exchange.defer_refusal(error)
             return
         if caller_exchange.response_started:
             self._abort()
--- a/dragonflyshelf/runtime/callers/exchange.py
+++ b/dragonflyshelf/runtime/callers/exchange.py
@@ -83,12 +83,34 @@
             self.body_discarded = True
 
     def defer(self, part: runtime_messages.ResponsePart) -> None:
-        """Keep a part of the response until earlier ones are complete."""
+        """Keep a part of the response until earlier ones are complete.
+
+        After a refusal, the rest of the response is dropped.
+        """
+        if self.deferred_refusal is not None:
+            return
         self.deferred_parts.append(part)
         self.deferred_bytes += PIECE_BYTES
         if isinstance(part, messages.ResponseChunk):
             self.deferred_bytes += len(part.data)
 
+    def defer_refusal(self, error: errors.RouterError) -> None:
+        """Refuse the request once earlier responses are complete.
+
+        The first refusal counts, and a complete response goes before it.
+        """
+        if self.is_response_ready or self.deferred_refusal is not None:
+            return
+        self.deferred_refusal = error
+        self.take_deferred()
+
+    @property
+    def is_response_ready(self) -> bool:
+        """Return whether a complete response waits for earlier ones."""
+        return bool(self.deferred_parts) and isinstance(
+            self.deferred_parts[-1], messages.ResponseEnd
+        )
+
     def take_deferred(self) -> list[runtime_messages.ResponsePart]:
         """Return the parts that were kept, which are no longer."""
         parts = self.deferred_parts
