Limit the headers of a request by their bytes only

Change: [requests] headers is 0 by default, which leaves them to head_bytes. Each header counts in the account with the memory that it takes, and a connection over its share has no further request parsed.

Result: TestManyHeaders (120 and 4,000 headers in 16 KiB) and TestShare::test_pipelined_requests failed before and pass.

--- a/dragonflyshelf/codec/head_validation.py
+++ b/dragonflyshelf/codec/head_validation.py
@@ -42,7 +42,7 @@
         raise errors.BadRequest(
             "request head has a line feed without carriage return"
         )
-    if crlf_count > config.headers:
+    if 0 < config.headers < crlf_count:
         raise errors.HeadTooLarge(
             f"request has more than {config.headers} headers"
         )
--- a/dragonflyshelf/core/settings.py
+++ b/dragonflyshelf/core/settings.py
@@ -66,6 +66,7 @@
 class RequestSettings:
     """Section ``requests``: limits on requests and connections.
 
+    ``headers`` limits their number; 0 leaves it to ``head_bytes``.
     Only a request whose body has at most ``replay_bytes`` is retried.
     ``window_bytes`` is the flow control window of a body. ``linger_timeout``
     limits how long a closing connection may take to deliver its last
@@ -78,7 +79,7 @@
     head_bytes: Annotated[
         int, ranges.Range(minimum=1024, maximum=MIB, unit="B")
     ] = (32 * KIB)
-    headers: Annotated[int, ranges.Range(minimum=8, maximum=10000)] = 100
+    headers: Annotated[int, ranges.Range(minimum=0, maximum=10000)] = 0
     body_bytes: Annotated[
         int, ranges.Range(minimum=0, maximum=1024 * MIB, unit="B")
     ] = (16 * MIB)
--- a/dragonflyshelf/runtime/callers/connection.py
+++ b/dragonflyshelf/runtime/callers/connection.py
@@ -331,6 +331,8 @@
             return False
         if not self._exchanges:
             return True
+        if self._find_held_bytes() > self._share_bytes:
+            return False
         return not self._draining and self._exchanges[-1].is_pipelinable
 
     def _process_events(self) -> None:
@@ -388,7 +390,8 @@
         self._incoming_exchange = caller_exchange
         caller_exchange.method = event.method
         caller_exchange.head_size = len(event.target) + sum(
-            len(name) + len(value) for name, value in event.headers
+            len(name) + len(value) + exchange.HEADER_BYTES
+            for name, value in event.headers
         )
         request_id = ids.RequestId(secrets.token_hex(REQUEST_ID_BYTES))
         try:
--- a/dragonflyshelf/runtime/callers/exchange.py
+++ b/dragonflyshelf/runtime/callers/exchange.py
@@ -19,6 +19,9 @@
 EXCHANGE_BYTES: Final = 4096
 """Memory of an exchange beside what it holds."""
 
+HEADER_BYTES: Final = 320
+"""Memory of a header beside its name and value."""
+
 PIECE_BYTES: Final = 128
 """Memory of a piece of a body beside its data."""
 
--- a/tests/crowd/test_unread_answers.py
+++ b/tests/crowd/test_unread_answers.py
@@ -11,6 +11,12 @@
 HALF_CLOSED_REQUEST_COUNT = 64
 READY_REQUEST = b"GET /-/readyz HTTP/1.1\r\nHost: a\r\n\r\n"
 METRICS_REQUEST = b"GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n"
+TINY_HEADER_COUNT = 3900
+"""Header lines of 4 bytes in a head within its limit."""
+
+TINY_HEADERS_REQUEST = crowds.make_request(
+    "/read/1", *("a:" for _ in range(TINY_HEADER_COUNT))
+)
 UNROUTED_REQUEST = crowds.make_request("/none/1", "Request-Id: " + "r" * 60)
 
 
@@ -60,6 +66,24 @@
         asyncio.run(async_check())
 
 
+class TestTinyHeaders:
+    """Heads that take far more memory than they have bytes."""
+
+    def test_routed_requests(self) -> None:
+        """Many such requests are sent ahead."""
+
+        async def async_check() -> None:
+            async with deployment.async_run_crowded() as instance:
+                crowd = crowds.Crowd(
+                    member_count=MEMBER_COUNT,
+                    seconds=CROWD_SECONDS,
+                    block=TINY_HEADERS_REQUEST,
+                )
+                await instance.async_endure(crowd, instance.ports.callers)
+
+        asyncio.run(async_check())
+
+
 class TestHalfClosed:
     """Callers that close their sending side and read nothing."""
 
--- a/tests/runtime/callers/test_flow.py
+++ b/tests/runtime/callers/test_flow.py
@@ -121,6 +121,34 @@
         asyncio.run(async_check())
 
 
+class TestShare:
+    """A connection that holds its share gets no further."""
+
+    def test_pipelined_requests(self) -> None:
+        """The next request is parsed once there is room for it."""
+
+        async def async_check() -> None:
+            async with fakes.async_run_listener(
+                held_bytes=1,
+                head_bytes=1024,
+                replay_bytes=1024,
+                window_bytes=1024,
+            ) as harness:
+                async with harness.async_connect() as client:
+                    client.send(raw_http.GET * 2)
+                    first = await harness.async_receive_request()
+                    await asyncio.sleep(MIN_UNROUTED_SECONDS)
+                    assert not harness.router
+                    fakes.send_response(first, b"one")
+                    await harness.async_receive_exchange_end()
+                    fakes.send_response(
+                        await harness.async_receive_request(), b"two"
+                    )
+                    await client.async_read_until(b"two")
+
+        asyncio.run(async_check())
+
+
 class TestTinyChunks:
     """A chunk costs as much time however short it is."""
 
--- a/tests/runtime/callers/test_parsing.py
+++ b/tests/runtime/callers/test_parsing.py
@@ -45,6 +45,33 @@
 }
 
 
+MAX_HEAD_BYTES = 16384
+"""Default of the platform's limit on a head."""
+
+
+class TestManyHeaders:
+    """Headers are limited by their bytes, whatever their number."""
+
+    @pytest.mark.parametrize("header_count", [120, 4000])
+    def test_within_limit(self, header_count: int) -> None:
+        """A head that is short enough is routed with all its headers."""
+        lines = b"".join(b"a:\r\n" for _ in range(header_count))
+        request = raw_http.GET[:-2] + lines + b"\r\n"
+        assert len(request) <= MAX_HEAD_BYTES
+
+        async def async_run() -> None:
+            async with fakes.async_run_listener(
+                head_bytes=MAX_HEAD_BYTES
+            ) as harness:
+                async with harness.async_connect() as client:
+                    client.send(request)
+                    arrival = await harness.async_receive_request()
+                    names = [header.name for header in arrival.head.headers]
+                    assert names.count(b"a") == header_count
+
+        asyncio.run(async_run())
+
+
 class TestInvalidHttp:
     """Requests that are not strictly valid HTTP are not routed."""
 
