--- a/dragonflyshelf/core/settings.py
+++ b/dragonflyshelf/core/settings.py
@@ -38,7 +38,8 @@
     """Section ``instance``: identity and size of this process.
 
     It may use the share ``core_share`` of a core, ``cores`` times as fast
-    as a usual one, and ``link_mbps`` Mbit/s of its network link.
+    as a usual one, ``link_mbps`` Mbit/s of its network link, ``memory_mb``
+    MiB of memory and ``descriptors`` file descriptors.
     """
 
     name: ids.InstanceId
@@ -47,6 +48,10 @@
     core_share: Annotated[float, ranges.Range(minimum=0.001, maximum=1)] = 1.0
     cores: Annotated[float, ranges.Range(minimum=0.01, maximum=1024)] = 1.0
     link_mbps: Annotated[float, ranges.Range(minimum=0.1, maximum=1e6)] = 1e3
+    memory_mb: Annotated[float, ranges.Range(minimum=64, maximum=1e6)] = 1024.0
+    descriptors: Annotated[
+        int, ranges.Range(minimum=256, maximum=10000000)
+    ] = 16384
 
     @property
     def is_small(self) -> bool:
@@ -61,17 +66,20 @@
 class RequestSettings:
     """Section ``requests``: limits on requests and connections.
 
+    ``headers`` limits their number; 0 leaves it to ``head_bytes``.
     Only a request whose body has at most ``replay_bytes`` is retried.
     ``window_bytes`` is the flow control window of a body. ``linger_timeout``
     limits how long a closing connection may take to deliver its last
-    response.
+    response, and ``write_timeout`` how long a caller may take nothing of the
+    responses that wait for it. ``held_bytes`` limits what is held for all
+    connections together; 0 stands for a quarter of the memory.
     """
 
     deadline: Annotated[float, DURATION_RANGE] = 10.0
     head_bytes: Annotated[
         int, ranges.Range(minimum=1024, maximum=MIB, unit="B")
     ] = (32 * KIB)
-    headers: Annotated[int, ranges.Range(minimum=8, maximum=10000)] = 100
+    headers: Annotated[int, ranges.Range(minimum=0, maximum=10000)] = 0
     body_bytes: Annotated[
         int, ranges.Range(minimum=0, maximum=1024 * MIB, unit="B")
     ] = (16 * MIB)
@@ -87,6 +95,10 @@
     idle_timeout: Annotated[float, DURATION_RANGE] = 60.0
     read_timeout: Annotated[float, DURATION_RANGE] = 10.0
     linger_timeout: Annotated[float, DURATION_RANGE] = 2.0
+    write_timeout: Annotated[float, DURATION_RANGE] = 10.0
+    held_bytes: Annotated[
+        int, ranges.Range(minimum=0, maximum=1024 * 1024 * MIB, unit="B")
+    ] = 0
     inbox_messages: Annotated[
         int, ranges.Range(minimum=16, maximum=10000000)
     ] = 100000
--- a/tests/runtime/gateway/test_health.py
+++ b/tests/runtime/gateway/test_health.py
@@ -8,8 +8,11 @@
 from dragonflyshelf.platform import names
 from dragonflyshelf.runtime.gateway import health
 from dragonflyshelf.runtime import http_client
+from dragonflyshelf.runtime import memory
 from tests.runtime import deployment
 
+MAX_CONNECTION_COUNT = 4
+
 
 class TestReadyPath:
     """The balancer reads the status, the operator the body."""
@@ -23,7 +26,11 @@
 
         async def async_check() -> http_client.HttpResponse:
             port = deployment.find_free_port()
-            listener = health.HealthListener(lambda: state)
+            listener = health.HealthListener(
+                lambda: state,
+                MAX_CONNECTION_COUNT,
+                memory.make_silent_reporter,
+            )
             await listener.async_listen(deployment.HOST, port)
             try:
                 async with http_client.async_open(
