Read the object after a conflict on a creation

Cause: if the response to the write that creates a shard plan was lost, the leader repeated the creation for ever: the conflict need not contain the object, and the leader reads plans in no other way. The service had no holders until another leader was elected.

Change: after a conflict on a creation the object is read, and the write ends with it.

Result: TestLostResponseToACreation failed, as the conflict came without the plan, and passes.

--- a/dragonflyshelf/platform/store.py
+++ b/dragonflyshelf/platform/store.py
@@ -116,11 +116,15 @@
     ) -> grantor.ControlWriteCompleted:
         """Create a control object or replace its expected revision.
 
+        The conflict of a creation need not contain the object, so that it is
+        read then: the former response to the same creation may be lost.
+
         Raises ``PlatformUnavailable`` without a response, as the outcome
         is unknown then, or for an unexpected status, and ``InvalidObject``
         if the current object cannot be decoded.
         """
         path = names.PATHS_BY_KIND[store.ObjectKind.CONTROL]
+        object_path = f"{path}/{_escape(write.name)}"
         body: dict[str, Any] = {
             "Metadata": {"Name": write.name},
             "Spec": control.to_builtins(write.value),
@@ -128,11 +132,18 @@
         method = "POST"
         if write.expected_revision:
             method = "PUT"
-            path = f"{path}/{_escape(write.name)}"
+            path = object_path
             body["Metadata"]["Revision"] = write.expected_revision
         response = await self._async_call(
             method, path, write.timeout, msgspec.json.encode(body)
         )
+        is_conflict = response.status in CONFLICT_STATUSES
+        if is_conflict and not write.expected_revision:
+            response = await self._async_get(object_path)
+            current = _decode_current(response.body)
+            return _make_completion(
+                write, store.WriteOutcome.CONFLICT, sent_at, current
+            )
         return _complete_write(write, response, sent_at)
 
     async def _async_get(
--- a/stand_ins/store.py
+++ b/stand_ins/store.py
@@ -33,7 +33,10 @@
 
 
 class StoreServer:
-    """Serves objects over HTTP and counts the calls."""
+    """Serves objects over HTTP and counts the calls.
+
+    A conflict contains the object, except one with a creation.
+    """
 
     def __init__(self) -> None:
         """Create an empty store without an injected fault."""
@@ -86,15 +89,25 @@
         try:
             if request.method == "GET" and "Watch" in query:
                 return await self._async_watch(kind, query)
+            if request.method == "GET" and name:
+                return self._get(kind, urllib.parse.unquote(name))
             if request.method == "GET":
                 return self._list(kind, query.get("after", ""))
             return self._write(request, kind, name)
         except objects.RevisionConflict as conflict:
-            status = 404 if conflict.current is None else 409
-            return _json(status, conflict.current or {})
+            if conflict.current is None:
+                return _json(404, {})
+            is_creation = request.method == "POST"
+            return _json(409, {} if is_creation else conflict.current)
         except objects.HistoryExpired:
             return _json(410, {})
 
+    def _get(self, kind: str, name: str) -> http_server.ServerResponse:
+        for stored in self.objects.list_objects(kind):
+            if stored["Metadata"]["Name"] == name:
+                return _json(200, stored)
+        return _json(404, {})
+
     def _list(self, kind: str, after: str) -> http_server.ServerResponse:
         remaining = [
             stored
--- a/tests/runtime/store/test_write.py
+++ b/tests/runtime/store/test_write.py
@@ -13,6 +13,7 @@
 from dragonflyshelf.runtime import http_server
 from dragonflyshelf.runtime import inbox
 from dragonflyshelf.runtime.store import write
+from stand_ins import store as stand_in
 from tests.runtime import deployment
 
 LEASE = objects.Lease(
@@ -99,3 +100,51 @@
         completed = asyncio.run(self.async_write_both())
         assert completed.write.name == "lease"
         assert completed.outcome is store.WriteOutcome.FAILED
+
+
+class TestLostResponseToACreation:
+    """The object was created, but the response was lost.
+
+    Reported: the creation of a plan was repeated for ever, as the conflict
+    does not contain the object, and its service had no holders.
+    """
+
+    PLAN = objects.ShardPlan(
+        service=ids.ServiceName("letters"), assignments=()
+    )
+    NAME = ids.ObjectName("shards-letters")
+
+    async def async_write_again(self) -> grantor.ControlWriteCompleted:
+        """Create a plan twice; return how the second write ended."""
+        control_inbox = inbox.Inbox("control")
+        async with stand_in.async_run_store() as server:
+            config = settings.StoreSettings(
+                address=f"{deployment.HOST}:{server.port}"
+            )
+            creation = grantor.WriteControl(
+                name=self.NAME,
+                expected_revision=ids.Revision(0),
+                value=self.PLAN,
+                timeout=0.5,
+            )
+            write_task = write.StoreWriteTask(config, control_inbox)
+            async with write_task.async_running(), asyncio.timeout(5):
+                server.injection.fault = stand_in.Fault.LOSE_RESPONSES
+                write_task.inbox.post(creation)
+                await control_inbox.async_wait()
+                lost = control_inbox.pop()
+                assert lost.outcome is store.WriteOutcome.UNKNOWN
+                server.injection.fault = stand_in.Fault.NONE
+                write_task.inbox.post(creation)
+                await control_inbox.async_wait()
+        completed: grantor.ControlWriteCompleted = control_inbox.pop()
+        return completed
+
+    def test_object_is_read(self) -> None:
+        """The conflict comes with the object as it is in the store."""
+        completed = asyncio.run(self.async_write_again())
+        assert completed.outcome is store.WriteOutcome.CONFLICT
+        assert completed.current is not None
+        assert completed.current.name == self.NAME
+        assert completed.current.value == self.PLAN
+        assert completed.current.revision > 0
