Close unread connections when the listener drains

Cause: a connection whose responses wait for a caller that reads nothing is no longer in its idle timeout but in the write timeout, which the drain didn't know; it would have held up a shutdown.

Change: the drain closes it within the linger timeout, as before.

Result: TestDrain::test_unread_response failed before and passes.

--- a/dragonflyshelf/runtime/callers/connection.py
+++ b/dragonflyshelf/runtime/callers/connection.py
@@ -51,6 +51,9 @@
 Parsing a tiny chunk of a body takes as long as a large one.
 """
 
+IDLE_KINDS = frozenset({timeouts.TimeoutKind.IDLE, timeouts.TimeoutKind.WRITE})
+"""Timeouts of a connection that has read no part of a request."""
+
 REQUEST_ID_BYTES = 8
 """Random bytes in the id that is generated for a request without one."""
 
@@ -219,7 +222,7 @@
         self._draining = True
         if self._exchanges or self._lingering:
             return
-        if self._timer.kind is timeouts.TimeoutKind.IDLE:
+        if self._timer.kind in IDLE_KINDS:
             self._stop()
 
     @task.handles(runtime_messages.TargetAttached)
--- a/tests/runtime/callers/test_flow.py
+++ b/tests/runtime/callers/test_flow.py
@@ -121,6 +121,22 @@
         asyncio.run(async_check())
 
 
+class TestDrain:
+    """A caller that reads nothing does not hold up a shutdown."""
+
+    def test_unread_response(self) -> None:
+        """It has the time of a closing connection to read its response."""
+
+        async def async_check() -> None:
+            async with fakes.async_run_listener(linger_timeout=0.1) as harness:
+                async with async_connect_unread(harness) as caller_socket:
+                    await async_fill_write_buffer(harness, caller_socket)
+                    await harness.async_drain()
+                    await fakes.async_receive(harness.drained)
+
+        asyncio.run(async_check())
+
+
 class TestShare:
     """A connection that holds its share gets no further."""
 
