Write responses to callers in a module of their own

Change: what is written to the channel moves to runtime/callers/responses; the connection decides whose turn it is and whether it closes. No change of behaviour.

--- a/dragonflyshelf/runtime/callers/connection.py
+++ b/dragonflyshelf/runtime/callers/connection.py
@@ -20,6 +20,7 @@
 from dragonflyshelf.runtime.callers import diagnostics
 from dragonflyshelf.runtime.callers import exchange
 from dragonflyshelf.runtime.callers import messages as caller_messages
+from dragonflyshelf.runtime.callers import responses
 from dragonflyshelf.runtime.callers import timeouts
 from dragonflyshelf.runtime import inbox
 from dragonflyshelf.runtime import memory
@@ -93,6 +94,7 @@
         self._listener = listener
         self._next_exchange_id = next_exchange_id
         self._channel = channel.CallerChannel(config.requests)
+        self._responses = responses.ResponseWriter(self._channel, self.inbox)
         self._exchanges: collections.deque[Exchange] = collections.deque()
         self._incoming_exchange: Exchange | None = None
         self._timer = timeouts.TimeoutTimer(self.inbox)
@@ -198,7 +200,7 @@
     @task.handles(sockets.WriteResumed)
     def _on_write_resumed(self, message: sockets.WriteResumed) -> None:
         if self._exchanges:
-            self._return_credit(self._exchanges[0], 0)
+            self._responses.return_credit(self._exchanges[0])
         elif self._timer.kind is timeouts.TimeoutKind.WRITE:
             self._start_idle_or_write_timeout()
         if not self._lingering:
@@ -242,8 +244,7 @@
         caller_exchange.target = message.target
         caller_exchange.unacknowledged_bytes = 0
         if caller_exchange.http.they_are_waiting_for_100_continue:
-            event = h11.InformationalResponse(status_code=100, headers=[])
-            self._write(caller_exchange, event)
+            self._responses.write_continue(caller_exchange)
         for data in caller_exchange.buffered_chunks:
             self._forward_body(caller_exchange, data)
         caller_exchange.discard_unreplayable_body()
@@ -532,49 +533,15 @@
         self, caller_exchange: Exchange, message: runtime_messages.ResponsePart
     ) -> None:
         if isinstance(message, messages.ResponseHead):
-            self._write_response_head(caller_exchange, message)
+            self._responses.write_head(
+                caller_exchange, message, self._must_close(caller_exchange)
+            )
         elif isinstance(message, messages.ResponseChunk):
-            self._write(caller_exchange, h11.Data(data=message.data))
-            self._return_credit(caller_exchange, len(message.data))
+            self._responses.write_chunk(caller_exchange, message)
         else:
-            self._write(caller_exchange, h11.EndOfMessage())
-            caller_exchange.response_complete = True
+            self._responses.write_end(caller_exchange)
             self._finish_first_exchange()
 
-    def _write_response_head(
-        self, caller_exchange: Exchange, message: messages.ResponseHead
-    ) -> None:
-        caller_exchange.response_started = True
-        caller_exchange.status = message.status
-        headers = [(header.name, header.value) for header in message.headers]
-        if self._must_close(caller_exchange):
-            headers.append((b"connection", b"close"))
-        response = h11.Response(
-            status_code=message.status, headers=headers, reason=message.reason
-        )
-        self._write(caller_exchange, response)
-
-    def _return_credit(self, caller_exchange: Exchange, size: int) -> None:
-        caller_exchange.pending_credit += size
-        if (
-            self._channel.is_write_buffer_full
-            or caller_exchange.pending_credit == 0
-        ):
-            return
-        if caller_exchange.target is not None:
-            caller_exchange.target.post(
-                messages.Credit(
-                    exchange=caller_exchange.id,
-                    size=caller_exchange.pending_credit,
-                )
-            )
-        caller_exchange.pending_credit = 0
-
-    def _write(self, caller_exchange: Exchange, event: h11.Event) -> None:
-        self._channel.send(caller_exchange.http, event)
-        if not self.inbox:
-            self._channel.flush()
-
     def _must_close(self, caller_exchange: Exchange) -> bool:
         """Return whether the connection closes after this response."""
         if not caller_exchange.body_complete:
@@ -671,17 +638,9 @@
         if caller_exchange is self._incoming_exchange:
             self._incoming_exchange = None
             self._accepts_input = False
-        caller_exchange.error_code = error.code
-        caller_exchange.status = http.error_status(error)
-        body = http.error_body(error, caller_exchange.request_id)
-        close = self._must_close(caller_exchange)
-        self._write(
-            caller_exchange, http.error_response(error, len(body), close)
+        self._responses.write_refusal(
+            caller_exchange, error, self._must_close(caller_exchange)
         )
-        if caller_exchange.method != http.METHOD_HEAD:
-            self._write(caller_exchange, h11.Data(data=body))
-        self._write(caller_exchange, h11.EndOfMessage())
-        caller_exchange.response_complete = True
         self._finish_first_exchange()
 
     def _finish_first_exchange(self) -> None:
