Let a small crowd take part in the fault soak

Cause: callers that read no responses were shown alone, not beside faults, restarts and planned work.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -14,6 +14,7 @@
 
 from bench import processes
 from bench.soak import checks
+from bench.soak import crowd
 from bench.soak import faults
 from bench.soak import planned
 from bench.soak import proxy
@@ -69,6 +70,15 @@
                 )
                 for number in range(CALLER_COUNT)
             ]
+            crowd_members = [
+                group.create_task(
+                    crowd.CrowdMember(
+                        deployment.instances,
+                        random.Random(f"{seed}-crowd-{number}"),
+                    ).async_send_forever()
+                )
+                for number in range(crowd.MEMBER_COUNT)
+            ]
             stall_monitor = group.create_task(
                 _async_monitor_stalls(deployment)
             )
@@ -81,7 +91,12 @@
                 for name in planned.PLANNED
             ]
             await _async_inject_faults(deployment, fault_seconds)
-            for background_task in (*callers, *planned_work, stall_monitor):
+            for background_task in (
+                *callers,
+                *crowd_members,
+                *planned_work,
+                stall_monitor,
+            ):
                 background_task.cancel()
         episode.recovery_seconds = await _async_recover(deployment)
     return episode
