Measure what a caller connection holds in a module of its own

Cause: the module of the caller connection has several jobs.

Change: held and moved bytes, their reports and the share move to runtime/callers/flow. No change of behaviour.

Result: tests/runtime/callers, test_gateway and test_layout pass.

--- a/dragonflyshelf/runtime/callers/connection.py
+++ b/dragonflyshelf/runtime/callers/connection.py
@@ -19,6 +19,7 @@
 from dragonflyshelf.runtime.callers import channel
 from dragonflyshelf.runtime.callers import diagnostics
 from dragonflyshelf.runtime.callers import exchange
+from dragonflyshelf.runtime.callers import flow
 from dragonflyshelf.runtime.callers import messages as caller_messages
 from dragonflyshelf.runtime.callers import responses
 from dragonflyshelf.runtime.callers import timeouts
@@ -85,8 +86,6 @@
     ) -> None:
         """Create the task; the socket arrives as a message."""
         super().__init__("caller", config.requests.inbox_messages)
-        self._holding = make_reporter(self.inbox)
-        self._share_bytes = memory_limits.share_bytes
         self._config = config.requests
         self._header_names = header_names
         self._access_log = diagnostics.AccessLog(config.log)
@@ -96,6 +95,12 @@
         self._channel = channel.CallerChannel(config.requests)
         self._responses = responses.ResponseWriter(self._channel, self.inbox)
         self._exchanges: collections.deque[Exchange] = collections.deque()
+        self._flow = flow.FlowMeter(
+            self._channel,
+            self._exchanges,
+            make_reporter(self.inbox),
+            memory_limits.share_bytes,
+        )
         self._incoming_exchange: Exchange | None = None
         self._timer = timeouts.TimeoutTimer(self.inbox)
         self._connection_refusal: errors.RouterError | None = None
@@ -103,14 +108,12 @@
         self._accepts_input = True
         self._lingering = False
         self._discarded_bytes = 0
-        self._forwarded_bytes = 0
-        self._sent_bytes_at_timeout = 0
         self._is_parsing_postponed = False
 
     @task.handles(sockets.SocketOpened)
     def _on_socket_opened(self, message: sockets.SocketOpened) -> None:
         self._channel.connection_made(message.transport)
-        self._holding.open()
+        self._flow.open()
         if self._connection_refusal is not None:
             self._refuse(self._append_exchange(), self._connection_refusal)
             return
@@ -151,10 +154,9 @@
     @task.handles(memory_messages.Release)
     def _on_release(self, message: memory_messages.Release) -> None:
         """Close to free memory, unless it was freed in the meantime."""
-        held_bytes = self._find_held_bytes()
-        if held_bytes < message.held_bytes / 2:
-            self._holding.report_now(held_bytes, self._find_moved_bytes())
-        elif held_bytes:
+        if self._flow.has_freed(message):
+            return
+        if self._flow.held_bytes:
             self._abort()
         else:
             self._stop()
@@ -257,7 +259,7 @@
         if caller_exchange is None:
             return
         caller_exchange.unacknowledged_bytes -= message.size
-        self._forwarded_bytes += message.size
+        self._flow.add_forwarded(message.size)
 
     @task.handles(messages.ResponseHead)
     def _on_response_head(self, message: messages.ResponseHead) -> None:
@@ -280,11 +282,8 @@
     def on_messages_handled(self) -> None:
         """Report what is held, and read no more while it is too much."""
         if self._channel.is_open:
-            held_bytes = self._find_held_bytes()
-            self._holding.report(held_bytes, self._find_moved_bytes())
-            self._channel.set_reading_paused(
-                self._must_pause_reading(held_bytes)
-            )
+            self._flow.report()
+            self._channel.set_reading_paused(self._must_pause_reading())
 
     def on_failure(self) -> None:
         """Reset the connection.
@@ -302,7 +301,7 @@
         ):
             self._channel.abort()
         self._channel.close()
-        self._holding.end()
+        self._flow.end()
         self._listener.post(caller_messages.ConnectionEnded(inbox=self.inbox))
 
     def _find_exchange(self, exchange_id: ids.ExchangeId) -> Exchange | None:
@@ -335,7 +334,7 @@
             return False
         if not self._exchanges:
             return True
-        if self._find_held_bytes() > self._share_bytes:
+        if self._flow.is_over_share:
             return False
         return not self._draining and self._exchanges[-1].is_pipelinable
 
@@ -488,8 +487,8 @@
             messages.BodyChunk(exchange=caller_exchange.id, data=data)
         )
 
-    def _must_pause_reading(self, held_bytes: int) -> bool:
-        """Return whether no more is to be read while so much is held.
+    def _must_pause_reading(self) -> bool:
+        """Return whether enough of what was sent is held.
 
         While lingering, all that arrives is discarded.
         """
@@ -497,27 +496,12 @@
             return False
         if self._is_parsing_postponed:
             return True
-        if held_bytes > self._share_bytes:
+        if self._flow.is_over_share:
             return True
         if self._incoming_exchange is not None:
             return self._incoming_exchange.is_window_full
         return self._channel.unparsed_bytes > self._config.head_bytes
 
-    def _find_held_bytes(self) -> int:
-        """Return the memory that is held for this connection."""
-        return (
-            self._channel.unparsed_bytes
-            + self._channel.unsent_bytes
-            + sum(
-                caller_exchange.held_bytes
-                for caller_exchange in self._exchanges
-            )
-        )
-
-    def _find_moved_bytes(self) -> int:
-        """Return how much the caller and upstreams have taken so far."""
-        return self._channel.sent_bytes + self._forwarded_bytes
-
     def _on_response_part(
         self, message: runtime_messages.ResponsePart
     ) -> None:
@@ -561,7 +545,7 @@
     @TIMEOUT_HANDLERS.register(timeouts.TimeoutKind.WRITE)
     def _on_write_timeout(self) -> None:
         """Reset the connection if its caller takes nothing any more."""
-        if self._channel.sent_bytes == self._sent_bytes_at_timeout:
+        if not self._flow.has_sent():
             self._abort()
             return
         self._start_idle_or_write_timeout()
@@ -664,7 +648,7 @@
 
     def _start_idle_or_write_timeout(self) -> None:
         if self._channel.is_write_buffer_full:
-            self._sent_bytes_at_timeout = self._channel.sent_bytes
+            self._flow.mark_sent()
             self._start_timeout(
                 timeouts.TimeoutKind.WRITE, self._config.write_timeout
             )
