Notice a caller that leaves while it holds its share

Cause: a connection over its share wasn't read at all, so that a caller that left was noticed at the deadline of its requests only.

Change: the share stops bodies and the parsing of further requests; one head is still read ahead.

Result: TestShare::test_caller_leaves failed before and passes.

--- a/dragonflyshelf/runtime/callers/connection.py
+++ b/dragonflyshelf/runtime/callers/connection.py
@@ -490,16 +490,19 @@
     def _must_pause_reading(self) -> bool:
         """Return whether enough of what was sent is held.
 
-        While lingering, all that arrives is discarded.
+        Without a body to read, one head is read ahead, also over the
+        share: the caller may leave meanwhile. While lingering, all that
+        arrives is discarded.
         """
         if self._lingering or not self._accepts_input:
             return False
         if self._is_parsing_postponed:
             return True
-        if self._flow.is_over_share:
-            return True
         if self._incoming_exchange is not None:
-            return self._incoming_exchange.is_window_full
+            return (
+                self._incoming_exchange.is_window_full
+                or self._flow.is_over_share
+            )
         return self._channel.unparsed_bytes > self._config.head_bytes
 
     def _on_response_part(
--- a/tests/runtime/callers/test_flow.py
+++ b/tests/runtime/callers/test_flow.py
@@ -164,6 +164,25 @@
 
         asyncio.run(async_check())
 
+    def test_caller_leaves(self) -> None:
+        """A caller that leaves while it holds its share is noticed."""
+
+        async def async_check() -> None:
+            async with fakes.async_run_listener(
+                deadline=fakes.TIMEOUT_SECONDS * 2,
+                held_bytes=1,
+                head_bytes=1024,
+                replay_bytes=1024,
+                window_bytes=1024,
+            ) as harness:
+                async with harness.async_connect() as client:
+                    client.send(raw_http.GET * 2)
+                    await harness.async_receive_request()
+                    await asyncio.sleep(MIN_UNROUTED_SECONDS)
+                assert (await harness.async_receive_exchange_end()).cancelled
+
+        asyncio.run(async_check())
+
 
 class TestTinyChunks:
     """A chunk costs as much time however short it is."""
