Name connections in the account of memory as such

Cause: a holder is what holds the lease or a range of keys; the account used the same word for a connection.

Change: ConnectionId, UsageChanged, ConnectionClosed and UsageReporter.

--- a/dragonflyshelf/core/ids.py
+++ b/dragonflyshelf/core/ids.py
@@ -8,6 +8,9 @@
 ConfigurationVersion = NewType("ConfigurationVersion", int)
 """Version of the operator's configuration; increases monotonically."""
 
+ConnectionId = NewType("ConnectionId", int)
+"""Connection in the account of memory, unique in one process."""
+
 DataCentreId = NewType("DataCentreId", str)
 """Name of a data centre."""
 
@@ -23,9 +26,6 @@
 Instant = NewType("Instant", float)
 """Reading of the monotonic clock of this process, in seconds."""
 
-HolderId = NewType("HolderId", int)
-"""Connection in the account of memory, unique in one process."""
-
 InstanceId = NewType("InstanceId", str)
 """Name of an instance."""
 
--- a/dragonflyshelf/core/memory/account.py
+++ b/dragonflyshelf/core/memory/account.py
@@ -12,7 +12,7 @@
 """Memory of a connection that holds nothing, or too little to report."""
 
 REPORT_STEP_BYTES: Final = 16 * 1024
-"""Change of a holding from which the account has to know it."""
+"""Change of a usage from which the account has to know it."""
 
 RELEASED_RATIO: Final = 7 / 8
 """Part of the limit to which the sum is brought back."""
@@ -21,7 +21,7 @@
 """Time in which moved bytes lose half of their weight."""
 
 MIN_MOVED_BYTES: Final = 4096
-"""Moved bytes that each holder is taken to have, to compare those at 0."""
+"""Moved bytes that each connection is taken to have, to compare those at 0."""
 
 Handler = abc.Callable[
     ["ByteAccount", messages.MemoryEvent, ids.Instant], None
@@ -32,19 +32,19 @@
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
-class Holding:
+class ConnectionUsage:
     """What one connection holds, and how much of it moved of late.
 
     ``is_released`` is set while the connection is being closed.
     """
 
-    holder: ids.HolderId
+    connection: ids.ConnectionId
     held_bytes: int
     moved_bytes: float
     updated_at: ids.Instant
     is_released: bool = False
 
-    def update(self, event: messages.HoldingChanged, now: ids.Instant) -> None:
+    def update(self, event: messages.UsageChanged, now: ids.Instant) -> None:
         """Apply a report."""
         self.moved_bytes = self.weigh_moved(now) + event.moved_bytes
         self.updated_at = now
@@ -71,15 +71,15 @@
     """
 
     def __init__(self, sum_bytes: int) -> None:
-        """Create an account without holders."""
+        """Create an account without connections."""
         self.sum_bytes = sum_bytes
         self.held_bytes = 0
-        self._holdings_by_id: dict[ids.HolderId, Holding] = {}
+        self._usages_by_id: dict[ids.ConnectionId, ConnectionUsage] = {}
 
     @property
-    def holder_count(self) -> int:
+    def connection_count(self) -> int:
         """Return the number of open connections."""
-        return len(self._holdings_by_id)
+        return len(self._usages_by_id)
 
     def handle(
         self, event: messages.MemoryEvent, now: ids.Instant
@@ -90,53 +90,53 @@
             return []
         return self._release(now)
 
-    @HANDLERS.register(messages.HoldingChanged)
-    def _on_holding_changed(
-        self, event: messages.HoldingChanged, now: ids.Instant
+    @HANDLERS.register(messages.UsageChanged)
+    def _on_usage_changed(
+        self, event: messages.UsageChanged, now: ids.Instant
     ) -> None:
-        holding = self._holdings_by_id.get(event.holder)
-        if holding is None:
-            holding = Holding(
-                holder=event.holder,
+        usage = self._usages_by_id.get(event.connection)
+        if usage is None:
+            usage = ConnectionUsage(
+                connection=event.connection,
                 held_bytes=0,
                 moved_bytes=0.0,
                 updated_at=now,
             )
-            self._holdings_by_id[event.holder] = holding
+            self._usages_by_id[event.connection] = usage
             self.held_bytes += CONNECTION_BYTES
-        self.held_bytes += event.held_bytes - holding.held_bytes
-        holding.update(event, now)
+        self.held_bytes += event.held_bytes - usage.held_bytes
+        usage.update(event, now)
 
-    @HANDLERS.register(messages.HoldingEnded)
-    def _on_holding_ended(
-        self, event: messages.HoldingEnded, now: ids.Instant
+    @HANDLERS.register(messages.ConnectionClosed)
+    def _on_connection_closed(
+        self, event: messages.ConnectionClosed, now: ids.Instant
     ) -> None:
-        holding = self._holdings_by_id.pop(event.holder, None)
-        if holding is not None:
-            self.held_bytes -= holding.held_bytes + CONNECTION_BYTES
+        usage = self._usages_by_id.pop(event.connection, None)
+        if usage is not None:
+            self.held_bytes -= usage.held_bytes + CONNECTION_BYTES
 
     def _release(self, now: ids.Instant) -> list[messages.Release]:
         excess_bytes = self.held_bytes - self.sum_bytes * RELEASED_RATIO
         candidates = []
-        for holding in self._holdings_by_id.values():
-            if holding.is_released:
-                excess_bytes -= holding.held_bytes + CONNECTION_BYTES
+        for usage in self._usages_by_id.values():
+            if usage.is_released:
+                excess_bytes -= usage.held_bytes + CONNECTION_BYTES
             else:
-                candidates.append(holding)
+                candidates.append(usage)
         if excess_bytes <= self.sum_bytes * (1 - RELEASED_RATIO):
             return []
         candidates.sort(
-            key=lambda holding: holding.find_drain_time(now), reverse=True
+            key=lambda usage: usage.find_drain_time(now), reverse=True
         )
         effects = []
-        for holding in candidates:
+        for usage in candidates:
             if excess_bytes <= 0:
                 break
-            holding.is_released = True
-            excess_bytes -= holding.held_bytes + CONNECTION_BYTES
+            usage.is_released = True
+            excess_bytes -= usage.held_bytes + CONNECTION_BYTES
             effects.append(
                 messages.Release(
-                    holder=holding.holder, held_bytes=holding.held_bytes
+                    connection=usage.connection, held_bytes=usage.held_bytes
                 )
             )
         return effects
--- a/dragonflyshelf/core/memory/messages.py
+++ b/dragonflyshelf/core/memory/messages.py
@@ -6,24 +6,24 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class HoldingChanged:
+class UsageChanged:
     """A connection holds ``held_bytes`` now.
 
-    The first one of a holder says that its connection is open.
+    The first one of a connection says that its connection is open.
     ``moved_bytes`` were taken by the peer or by an upstream since the last
     such message.
     """
 
-    holder: ids.HolderId
+    connection: ids.ConnectionId
     held_bytes: int = 0
     moved_bytes: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class HoldingEnded:
+class ConnectionClosed:
     """The connection is closed and holds nothing any more."""
 
-    holder: ids.HolderId
+    connection: ids.ConnectionId
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -34,8 +34,8 @@
     that instead.
     """
 
-    holder: ids.HolderId
+    connection: ids.ConnectionId
     held_bytes: int
 
 
-MemoryEvent = HoldingChanged | HoldingEnded
+MemoryEvent = UsageChanged | ConnectionClosed
--- a/dragonflyshelf/runtime/callers/flow.py
+++ b/dragonflyshelf/runtime/callers/flow.py
@@ -18,7 +18,7 @@
         self,
         caller_channel: channel.CallerChannel,
         exchanges: abc.Collection[exchange.CallerExchange],
-        reporter: memory.HoldingReporter,
+        reporter: memory.UsageReporter,
         share_bytes: int,
     ) -> None:
         """Create the meter; over ``share_bytes`` the caller has to wait."""
--- a/dragonflyshelf/runtime/memory.py
+++ b/dragonflyshelf/runtime/memory.py
@@ -23,14 +23,14 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class HolderOpened:
+class ConnectionOpened:
     """A connection is open; ``owner`` gets ``Release`` if need be."""
 
-    holder: ids.HolderId
+    connection: ids.ConnectionId
     owner: inbox.Inbox
 
 
-class HoldingReporter:
+class UsageReporter:
     """Reports what one connection holds, if that has changed enough.
 
     Its owner gets ``Release`` if the connection is to be closed. Without
@@ -41,18 +41,20 @@
         self,
         account_inbox: inbox.Inbox | None,
         owner: inbox.Inbox,
-        holder: ids.HolderId,
+        connection: ids.ConnectionId,
     ) -> None:
         """Create a reporter for a connection that is not open yet."""
         self._account_inbox = account_inbox
         self._owner = owner
-        self._holder = holder
+        self._connection = connection
         self._reported_bytes = 0
         self._reported_moved_bytes = 0
 
     def open(self) -> None:
         """Report that the connection is open."""
-        self._post(HolderOpened(holder=self._holder, owner=self._owner))
+        self._post(
+            ConnectionOpened(connection=self._connection, owner=self._owner)
+        )
 
     def report(self, held_bytes: int, moved_bytes: int) -> None:
         """Report what is held, and how much has moved since the start."""
@@ -68,8 +70,8 @@
     def report_now(self, held_bytes: int, moved_bytes: int) -> None:
         """Report also what has changed little."""
         self._post(
-            messages.HoldingChanged(
-                holder=self._holder,
+            messages.UsageChanged(
+                connection=self._connection,
                 held_bytes=held_bytes,
                 moved_bytes=moved_bytes - self._reported_moved_bytes,
             )
@@ -79,20 +81,20 @@
 
     def end(self) -> None:
         """Report that the connection is closed."""
-        self._post(messages.HoldingEnded(holder=self._holder))
+        self._post(messages.ConnectionClosed(connection=self._connection))
 
     def _post(self, message: object) -> None:
         if self._account_inbox is not None:
             self._account_inbox.post(message)
 
 
-ReporterFactory = abc.Callable[[inbox.Inbox], HoldingReporter]
+ReporterFactory = abc.Callable[[inbox.Inbox], UsageReporter]
 """Returns the reporter of the connection whose owner has the inbox."""
 
 
-def make_silent_reporter(owner: inbox.Inbox) -> HoldingReporter:
+def make_silent_reporter(owner: inbox.Inbox) -> UsageReporter:
     """Return a reporter without an account."""
-    return HoldingReporter(None, owner, ids.HolderId(0))
+    return UsageReporter(None, owner, ids.ConnectionId(0))
 
 
 class MemoryTask(task.Task):
@@ -102,36 +104,40 @@
         """Create the task; ``sum_bytes`` limits all connections together."""
         super().__init__("memory")
         self._account = account.ByteAccount(sum_bytes)
-        self._owners_by_holder: dict[ids.HolderId, inbox.Inbox] = {}
-        self._holder_numbers = itertools.count(1)
+        self._owners_by_connection: dict[ids.ConnectionId, inbox.Inbox] = {}
+        self._connection_numbers = itertools.count(1)
         self._log = limit_log.LimitLog("held_bytes")
 
-    def make_reporter(self, owner: inbox.Inbox) -> HoldingReporter:
+    def make_reporter(self, owner: inbox.Inbox) -> UsageReporter:
         """Return the reporter of a new connection."""
-        holder = ids.HolderId(next(self._holder_numbers))
-        return HoldingReporter(self.inbox, owner, holder)
+        connection = ids.ConnectionId(next(self._connection_numbers))
+        return UsageReporter(self.inbox, owner, connection)
 
     @task.handles(settings.SettingsChanged)
     def _on_settings_changed(self, message: settings.SettingsChanged) -> None:
         self._account.sum_bytes = limits.derive(message.settings).sum_bytes
 
-    @task.handles(HolderOpened)
-    def _on_holder_opened(self, message: HolderOpened) -> None:
-        self._owners_by_holder[message.holder] = message.owner
-        self._handle_event(messages.HoldingChanged(holder=message.holder))
+    @task.handles(ConnectionOpened)
+    def _on_connection_opened(self, message: ConnectionOpened) -> None:
+        self._owners_by_connection[message.connection] = message.owner
+        self._handle_event(
+            messages.UsageChanged(connection=message.connection)
+        )
 
-    @task.handles(messages.HoldingChanged)
-    def _on_holding_changed(self, message: messages.HoldingChanged) -> None:
-        if message.holder in self._owners_by_holder:
+    @task.handles(messages.UsageChanged)
+    def _on_usage_changed(self, message: messages.UsageChanged) -> None:
+        if message.connection in self._owners_by_connection:
             self._handle_event(message)
 
-    @task.handles(messages.HoldingEnded)
-    def _on_holding_ended(self, message: messages.HoldingEnded) -> None:
-        self._owners_by_holder.pop(message.holder, None)
+    @task.handles(messages.ConnectionClosed)
+    def _on_connection_closed(
+        self, message: messages.ConnectionClosed
+    ) -> None:
+        self._owners_by_connection.pop(message.connection, None)
         self._handle_event(message)
 
     def _handle_event(self, event: messages.MemoryEvent) -> None:
         for effect in self._account.handle(event, self.now):
             self._log.record(self.now)
-            self._owners_by_holder[effect.holder].post(effect)
+            self._owners_by_connection[effect.connection].post(effect)
         HELD_BYTES.set(self._account.held_bytes)
--- a/tests/core/memory/test_account.py
+++ b/tests/core/memory/test_account.py
@@ -10,15 +10,15 @@
 KIB = 1024
 SUM_BYTES = 1024 * KIB
 NOW = ids.Instant(100.0)
-HOLDER_IDS = strategies.integers(0, 9).map(ids.HolderId)
+CONNECTION_IDS = strategies.integers(0, 9).map(ids.ConnectionId)
 EVENTS = strategies.one_of(
     strategies.builds(
-        messages.HoldingChanged,
-        holder=HOLDER_IDS,
+        messages.UsageChanged,
+        connection=CONNECTION_IDS,
         held_bytes=strategies.integers(0, 300 * KIB),
         moved_bytes=strategies.integers(0, 300 * KIB),
     ),
-    strategies.builds(messages.HoldingEnded, holder=HOLDER_IDS),
+    strategies.builds(messages.ConnectionClosed, connection=CONNECTION_IDS),
 )
 
 
@@ -28,17 +28,17 @@
     held_bytes: int,
     moved_bytes: int = 0,
     now: ids.Instant = NOW,
-) -> list[ids.HolderId]:
-    """Report a holding; return the holders to be closed."""
+) -> list[ids.ConnectionId]:
+    """Report a usage; return the connections to be closed."""
     effects = byte_account.handle(
-        messages.HoldingChanged(
-            holder=ids.HolderId(number),
+        messages.UsageChanged(
+            connection=ids.ConnectionId(number),
             held_bytes=held_bytes,
             moved_bytes=moved_bytes,
         ),
         now,
     )
-    return [effect.holder for effect in effects]
+    return [effect.connection for effect in effects]
 
 
 class TestSum:
@@ -48,17 +48,17 @@
     def test_any_order(self, events: list[messages.MemoryEvent]) -> None:
         """The sum follows reports and ends in any order."""
         byte_account = account.ByteAccount(SUM_BYTES)
-        held_by_holder: dict[ids.HolderId, int] = {}
+        held_by_connection: dict[ids.ConnectionId, int] = {}
         for event in events:
             byte_account.handle(event, NOW)
-            if isinstance(event, messages.HoldingChanged):
-                held_by_holder[event.holder] = event.held_bytes
+            if isinstance(event, messages.UsageChanged):
+                held_by_connection[event.connection] = event.held_bytes
             else:
-                held_by_holder.pop(event.holder, None)
+                held_by_connection.pop(event.connection, None)
             assert byte_account.held_bytes == sum(
-                held_by_holder.values()
-            ) + account.CONNECTION_BYTES * len(held_by_holder)
-            assert byte_account.holder_count == len(held_by_holder)
+                held_by_connection.values()
+            ) + account.CONNECTION_BYTES * len(held_by_connection)
+            assert byte_account.connection_count == len(held_by_connection)
 
     def test_connections_that_hold_nothing(self) -> None:
         """Their number is limited by the memory that each one takes."""
@@ -125,6 +125,7 @@
         for event in events:
             for effect in byte_account.handle(event, NOW):
                 byte_account.handle(
-                    messages.HoldingEnded(holder=effect.holder), NOW
+                    messages.ConnectionClosed(connection=effect.connection),
+                    NOW,
                 )
             assert byte_account.held_bytes <= SUM_BYTES
--- a/tests/runtime/callers/test_flow.py
+++ b/tests/runtime/callers/test_flow.py
@@ -210,7 +210,7 @@
         asyncio.run(async_check())
 
 
-class TestHolding:
+class TestUsage:
     """A connection reports what it holds, and is closed on demand."""
 
     @pytest.fixture(autouse=True)
@@ -218,17 +218,15 @@
         """Use an inbox in place of the task that owns the account."""
         self.account = inbox.Inbox("account")
 
-    def make_reporter(self, owner: inbox.Inbox) -> memory.HoldingReporter:
+    def make_reporter(self, owner: inbox.Inbox) -> memory.UsageReporter:
         """Return the reporter of a connection."""
         self.owner = owner
-        return memory.HoldingReporter(self.account, owner, ids.HolderId(1))
+        return memory.UsageReporter(self.account, owner, ids.ConnectionId(1))
 
     @contextlib.asynccontextmanager
     async def async_hold(
         self,
-    ) -> abc.AsyncIterator[
-        tuple[fakes.Client, memory_messages.HoldingChanged]
-    ]:
+    ) -> abc.AsyncIterator[tuple[fakes.Client, memory_messages.UsageChanged]]:
         """Let a connection hold a deferred response."""
         async with fakes.async_run_listener(
             make_reporter=self.make_reporter
@@ -246,7 +244,7 @@
                     )
                 )
                 opened = await fakes.async_receive(self.account)
-                assert isinstance(opened, memory.HolderOpened)
+                assert isinstance(opened, memory.ConnectionOpened)
                 yield client, await fakes.async_receive(self.account)
 
     def test_deferred_response(self) -> None:
@@ -266,13 +264,14 @@
             async with self.async_hold() as (client, report):
                 self.owner.post(
                     memory_messages.Release(
-                        holder=report.holder, held_bytes=report.held_bytes
+                        connection=report.connection,
+                        held_bytes=report.held_bytes,
                     )
                 )
                 with pytest.raises(ConnectionResetError):
                     await client.async_read_to_end()
                 ended = await fakes.async_receive(self.account)
-                assert isinstance(ended, memory_messages.HoldingEnded)
+                assert isinstance(ended, memory_messages.ConnectionClosed)
 
         asyncio.run(async_check())
 
@@ -283,7 +282,7 @@
             async with self.async_hold() as (client, report):
                 self.owner.post(
                     memory_messages.Release(
-                        holder=report.holder,
+                        connection=report.connection,
                         held_bytes=report.held_bytes * 10,
                     )
                 )
