--- a/dragonflyshelf/runtime/callers/connection.py
+++ b/dragonflyshelf/runtime/callers/connection.py
@@ -19,7 +19,9 @@
 from dragonflyshelf.runtime.callers import channel
 from dragonflyshelf.runtime.callers import diagnostics
 from dragonflyshelf.runtime.callers import exchange
+from dragonflyshelf.runtime.callers import flow
 from dragonflyshelf.runtime.callers import messages as caller_messages
+from dragonflyshelf.runtime.callers import responses
 from dragonflyshelf.runtime.callers import timeouts
 from dragonflyshelf.runtime import inbox
 from dragonflyshelf.runtime import memory
@@ -51,6 +53,9 @@
 Parsing a tiny chunk of a body takes as long as a large one.
 """
 
+IDLE_KINDS = frozenset({timeouts.TimeoutKind.IDLE, timeouts.TimeoutKind.WRITE})
+"""Timeouts of a connection that has read no part of a request."""
+
 REQUEST_ID_BYTES = 8
 """Random bytes in the id that is generated for a request without one."""
 
@@ -81,8 +86,6 @@
     ) -> None:
         """Create the task; the socket arrives as a message."""
         super().__init__("caller", config.requests.inbox_messages)
-        self._holding = make_reporter(self.inbox)
-        self._share_bytes = memory_limits.share_bytes
         self._config = config.requests
         self._header_names = header_names
         self._access_log = diagnostics.AccessLog(config.log)
@@ -90,7 +93,14 @@
         self._listener = listener
         self._next_exchange_id = next_exchange_id
         self._channel = channel.CallerChannel(config.requests)
+        self._responses = responses.ResponseWriter(self._channel, self.inbox)
         self._exchanges: collections.deque[Exchange] = collections.deque()
+        self._flow = flow.FlowMeter(
+            self._channel,
+            self._exchanges,
+            make_reporter(self.inbox),
+            memory_limits.share_bytes,
+        )
         self._incoming_exchange: Exchange | None = None
         self._timer = timeouts.TimeoutTimer(self.inbox)
         self._connection_refusal: errors.RouterError | None = None
@@ -98,14 +108,12 @@
         self._accepts_input = True
         self._lingering = False
         self._discarded_bytes = 0
-        self._forwarded_bytes = 0
-        self._sent_bytes_at_timeout = 0
         self._is_parsing_postponed = False
 
     @task.handles(sockets.SocketOpened)
     def _on_socket_opened(self, message: sockets.SocketOpened) -> None:
         self._channel.connection_made(message.transport)
-        self._holding.open()
+        self._flow.open()
         if self._connection_refusal is not None:
             self._refuse(self._append_exchange(), self._connection_refusal)
             return
@@ -146,10 +154,9 @@
     @task.handles(memory_messages.Release)
     def _on_release(self, message: memory_messages.Release) -> None:
         """Close to free memory, unless it was freed in the meantime."""
-        held_bytes = self._find_held_bytes()
-        if held_bytes < message.held_bytes / 2:
-            self._holding.report_now(held_bytes, self._find_moved_bytes())
-        elif held_bytes:
+        if self._flow.has_freed(message):
+            return
+        if self._flow.held_bytes:
             self._abort()
         else:
             self._stop()
@@ -195,7 +202,7 @@
     @task.handles(sockets.WriteResumed)
     def _on_write_resumed(self, message: sockets.WriteResumed) -> None:
         if self._exchanges:
-            self._return_credit(self._exchanges[0], 0)
+            self._responses.return_credit(self._exchanges[0])
         elif self._timer.kind is timeouts.TimeoutKind.WRITE:
             self._start_idle_or_write_timeout()
         if not self._lingering:
@@ -219,7 +226,7 @@
         self._draining = True
         if self._exchanges or self._lingering:
             return
-        if self._timer.kind is timeouts.TimeoutKind.IDLE:
+        if self._timer.kind in IDLE_KINDS:
             self._stop()
 
     @task.handles(runtime_messages.TargetAttached)
@@ -239,8 +246,7 @@
         caller_exchange.target = message.target
         caller_exchange.unacknowledged_bytes = 0
         if caller_exchange.http.they_are_waiting_for_100_continue:
-            event = h11.InformationalResponse(status_code=100, headers=[])
-            self._write(caller_exchange, event)
+            self._responses.write_continue(caller_exchange)
         for data in caller_exchange.buffered_chunks:
             self._forward_body(caller_exchange, data)
         caller_exchange.discard_unreplayable_body()
@@ -253,7 +259,7 @@
         if caller_exchange is None:
             return
         caller_exchange.unacknowledged_bytes -= message.size
-        self._forwarded_bytes += message.size
+        self._flow.add_forwarded(message.size)
 
     @task.handles(messages.ResponseHead)
     def _on_response_head(self, message: messages.ResponseHead) -> None:
@@ -276,11 +282,8 @@
     def on_messages_handled(self) -> None:
         """Report what is held, and read no more while it is too much."""
         if self._channel.is_open:
-            held_bytes = self._find_held_bytes()
-            self._holding.report(held_bytes, self._find_moved_bytes())
-            self._channel.set_reading_paused(
-                self._must_pause_reading(held_bytes)
-            )
+            self._flow.report()
+            self._channel.set_reading_paused(self._must_pause_reading())
 
     def on_failure(self) -> None:
         """Reset the connection.
@@ -298,7 +301,7 @@
         ):
             self._channel.abort()
         self._channel.close()
-        self._holding.end()
+        self._flow.end()
         self._listener.post(caller_messages.ConnectionEnded(inbox=self.inbox))
 
     def _find_exchange(self, exchange_id: ids.ExchangeId) -> Exchange | None:
@@ -331,7 +334,7 @@
             return False
         if not self._exchanges:
             return True
-        if self._find_held_bytes() > self._share_bytes:
+        if self._flow.is_over_share:
             return False
         return not self._draining and self._exchanges[-1].is_pipelinable
 
@@ -484,35 +487,23 @@
             messages.BodyChunk(exchange=caller_exchange.id, data=data)
         )
 
-    def _must_pause_reading(self, held_bytes: int) -> bool:
-        """Return whether no more is to be read while so much is held.
+    def _must_pause_reading(self) -> bool:
+        """Return whether enough of what was sent is held.
 
-        While lingering, all that arrives is discarded.
+        Without a body to read, one head is read ahead, also over the
+        share: the caller may leave meanwhile. While lingering, all that
+        arrives is discarded.
         """
         if self._lingering or not self._accepts_input:
             return False
         if self._is_parsing_postponed:
             return True
-        if held_bytes > self._share_bytes:
-            return True
         if self._incoming_exchange is not None:
-            return self._incoming_exchange.is_window_full
-        return self._channel.unparsed_bytes > self._config.head_bytes
-
-    def _find_held_bytes(self) -> int:
-        """Return the memory that is held for this connection."""
-        return (
-            self._channel.unparsed_bytes
-            + self._channel.unsent_bytes
-            + sum(
-                caller_exchange.held_bytes
-                for caller_exchange in self._exchanges
+            return (
+                self._incoming_exchange.is_window_full
+                or self._flow.is_over_share
             )
-        )
-
-    def _find_moved_bytes(self) -> int:
-        """Return how much the caller and upstreams have taken so far."""
-        return self._channel.sent_bytes + self._forwarded_bytes
+        return self._channel.unparsed_bytes > self._config.head_bytes
 
     def _on_response_part(
         self, message: runtime_messages.ResponsePart
@@ -529,49 +520,15 @@
         self, caller_exchange: Exchange, message: runtime_messages.ResponsePart
     ) -> None:
         if isinstance(message, messages.ResponseHead):
-            self._write_response_head(caller_exchange, message)
+            self._responses.write_head(
+                caller_exchange, message, self._must_close(caller_exchange)
+            )
         elif isinstance(message, messages.ResponseChunk):
-            self._write(caller_exchange, h11.Data(data=message.data))
-            self._return_credit(caller_exchange, len(message.data))
+            self._responses.write_chunk(caller_exchange, message)
         else:
-            self._write(caller_exchange, h11.EndOfMessage())
-            caller_exchange.response_complete = True
+            self._responses.write_end(caller_exchange)
             self._finish_first_exchange()
 
-    def _write_response_head(
-        self, caller_exchange: Exchange, message: messages.ResponseHead
-    ) -> None:
-        caller_exchange.response_started = True
-        caller_exchange.status = message.status
-        headers = [(header.name, header.value) for header in message.headers]
-        if self._must_close(caller_exchange):
-            headers.append((b"connection", b"close"))
-        response = h11.Response(
-            status_code=message.status, headers=headers, reason=message.reason
-        )
-        self._write(caller_exchange, response)
-
-    def _return_credit(self, caller_exchange: Exchange, size: int) -> None:
-        caller_exchange.pending_credit += size
-        if (
-            self._channel.is_write_buffer_full
-            or caller_exchange.pending_credit == 0
-        ):
-            return
-        if caller_exchange.target is not None:
-            caller_exchange.target.post(
-                messages.Credit(
-                    exchange=caller_exchange.id,
-                    size=caller_exchange.pending_credit,
-                )
-            )
-        caller_exchange.pending_credit = 0
-
-    def _write(self, caller_exchange: Exchange, event: h11.Event) -> None:
-        self._channel.send(caller_exchange.http, event)
-        if not self.inbox:
-            self._channel.flush()
-
     def _must_close(self, caller_exchange: Exchange) -> bool:
         """Return whether the connection closes after this response."""
         if not caller_exchange.body_complete:
@@ -591,7 +548,7 @@
     @TIMEOUT_HANDLERS.register(timeouts.TimeoutKind.WRITE)
     def _on_write_timeout(self) -> None:
         """Reset the connection if its caller takes nothing any more."""
-        if self._channel.sent_bytes == self._sent_bytes_at_timeout:
+        if not self._flow.has_sent():
             self._abort()
             return
         self._start_idle_or_write_timeout()
@@ -668,17 +625,9 @@
         if caller_exchange is self._incoming_exchange:
             self._incoming_exchange = None
             self._accepts_input = False
-        caller_exchange.error_code = error.code
-        caller_exchange.status = http.error_status(error)
-        body = http.error_body(error, caller_exchange.request_id)
-        close = self._must_close(caller_exchange)
-        self._write(
-            caller_exchange, http.error_response(error, len(body), close)
+        self._responses.write_refusal(
+            caller_exchange, error, self._must_close(caller_exchange)
         )
-        if caller_exchange.method != http.METHOD_HEAD:
-            self._write(caller_exchange, h11.Data(data=body))
-        self._write(caller_exchange, h11.EndOfMessage())
-        caller_exchange.response_complete = True
         self._finish_first_exchange()
 
     def _finish_first_exchange(self) -> None:
@@ -702,7 +651,7 @@
 
     def _start_idle_or_write_timeout(self) -> None:
         if self._channel.is_write_buffer_full:
-            self._sent_bytes_at_timeout = self._channel.sent_bytes
+            self._flow.mark_sent()
             self._start_timeout(
                 timeouts.TimeoutKind.WRITE, self._config.write_timeout
             )
--- a/tests/runtime/callers/test_flow.py
+++ b/tests/runtime/callers/test_flow.py
@@ -121,6 +121,22 @@
         asyncio.run(async_check())
 
 
+class TestDrain:
+    """A caller that reads nothing does not hold up a shutdown."""
+
+    def test_unread_response(self) -> None:
+        """It has the time of a closing connection to read its response."""
+
+        async def async_check() -> None:
+            async with fakes.async_run_listener(linger_timeout=0.1) as harness:
+                async with async_connect_unread(harness) as caller_socket:
+                    await async_fill_write_buffer(harness, caller_socket)
+                    await harness.async_drain()
+                    await fakes.async_receive(harness.drained)
+
+        asyncio.run(async_check())
+
+
 class TestShare:
     """A connection that holds its share gets no further."""
 
@@ -148,6 +164,25 @@
 
         asyncio.run(async_check())
 
+    def test_caller_leaves(self) -> None:
+        """A caller that leaves while it holds its share is noticed."""
+
+        async def async_check() -> None:
+            async with fakes.async_run_listener(
+                deadline=fakes.TIMEOUT_SECONDS * 2,
+                held_bytes=1,
+                head_bytes=1024,
+                replay_bytes=1024,
+                window_bytes=1024,
+            ) as harness:
+                async with harness.async_connect() as client:
+                    client.send(raw_http.GET * 2)
+                    await harness.async_receive_request()
+                    await asyncio.sleep(MIN_UNROUTED_SECONDS)
+                assert (await harness.async_receive_exchange_end()).cancelled
+
+        asyncio.run(async_check())
+
 
 class TestTinyChunks:
     """A chunk costs as much time however short it is."""
@@ -175,7 +210,7 @@
         asyncio.run(async_check())
 
 
-class TestHolding:
+class TestUsage:
     """A connection reports what it holds, and is closed on demand."""
 
     @pytest.fixture(autouse=True)
@@ -183,17 +218,15 @@
         """Use an inbox in place of the task that owns the account."""
         self.account = inbox.Inbox("account")
 
-    def make_reporter(self, owner: inbox.Inbox) -> memory.HoldingReporter:
+    def make_reporter(self, owner: inbox.Inbox) -> memory.UsageReporter:
         """Return the reporter of a connection."""
         self.owner = owner
-        return memory.HoldingReporter(self.account, owner, ids.HolderId(1))
+        return memory.UsageReporter(self.account, owner, ids.ConnectionId(1))
 
     @contextlib.asynccontextmanager
     async def async_hold(
         self,
-    ) -> abc.AsyncIterator[
-        tuple[fakes.Client, memory_messages.HoldingChanged]
-    ]:
+    ) -> abc.AsyncIterator[tuple[fakes.Client, memory_messages.UsageChanged]]:
         """Let a connection hold a deferred response."""
         async with fakes.async_run_listener(
             make_reporter=self.make_reporter
@@ -211,7 +244,7 @@
                     )
                 )
                 opened = await fakes.async_receive(self.account)
-                assert isinstance(opened, memory.HolderOpened)
+                assert isinstance(opened, memory.ConnectionOpened)
                 yield client, await fakes.async_receive(self.account)
 
     def test_deferred_response(self) -> None:
@@ -231,13 +264,14 @@
             async with self.async_hold() as (client, report):
                 self.owner.post(
                     memory_messages.Release(
-                        holder=report.holder, held_bytes=report.held_bytes
+                        connection=report.connection,
+                        held_bytes=report.held_bytes,
                     )
                 )
                 with pytest.raises(ConnectionResetError):
                     await client.async_read_to_end()
                 ended = await fakes.async_receive(self.account)
-                assert isinstance(ended, memory_messages.HoldingEnded)
+                assert isinstance(ended, memory_messages.ConnectionClosed)
 
         asyncio.run(async_check())
 
@@ -248,7 +282,7 @@
             async with self.async_hold() as (client, report):
                 self.owner.post(
                     memory_messages.Release(
-                        holder=report.holder,
+                        connection=report.connection,
                         held_bytes=report.held_bytes * 10,
                     )
                 )
