Move the intake and the timers out of the scheduling coordinator

Change: matching a request to the configuration is RequestIntake, the two heaps of instants are ExchangeTimers; no decision changes.

--- a/dragonflyshelf/core/scheduling/coordinator.py
+++ b/dragonflyshelf/core/scheduling/coordinator.py
@@ -1,7 +1,6 @@
 """Schedules requests: admission, queueing, dispatch and retries."""
 
 from collections import abc
-import heapq
 from typing import Final
 
 from dragonflyshelf.core import errors
@@ -9,18 +8,18 @@
 from dragonflyshelf.core.quota import limiter
 from dragonflyshelf.core.quota import messages as quota
 from dragonflyshelf.core import registry
-from dragonflyshelf.core.routing import split
-from dragonflyshelf.core.routing import table
 from dragonflyshelf.core.scheduling import admission
 from dragonflyshelf.core.scheduling import budget
 from dragonflyshelf.core.scheduling import const
 from dragonflyshelf.core.scheduling import dispatcher
 from dragonflyshelf.core.scheduling import exchanges
 from dragonflyshelf.core.scheduling import fleet
+from dragonflyshelf.core.scheduling import intake
 from dragonflyshelf.core.scheduling import loads
 from dragonflyshelf.core.scheduling import messages
 from dragonflyshelf.core.scheduling import retries
 from dragonflyshelf.core.scheduling import slot_placement
+from dragonflyshelf.core.scheduling import timers
 from dragonflyshelf.core import settings
 from dragonflyshelf.core.slots import broker
 from dragonflyshelf.core.slots import messages as slots
@@ -35,8 +34,6 @@
 ]
 Phase = exchanges.Phase
 
-NEVER: Final = ids.Instant(float("inf"))
-
 HANDLERS: Final[registry.Registry[type, Handler]] = registry.Registry(
     "scheduling handlers"
 )
@@ -47,9 +44,7 @@
 
     def __init__(self, config: settings.Settings) -> None:
         """Create a coordinator without a configuration."""
-        self._config = config
-        self.route_table: table.RouteTable | None = None
-        self.configuration_confirmed_at = ids.Instant(float("-inf"))
+        self._intake = intake.RequestIntake(config)
         self.token_queue = admission.TokenQueue()
         self.retry_budget = budget.RetryBudget(config.retries)
         self.fleet = fleet.Fleet(config.instance)
@@ -59,10 +54,9 @@
         self._retry_policy = retries.RetryPolicy(config, self.retry_budget)
         self.shard_loads = loads.ShardLoads()
         self.service_times = service_times.ServiceTimeTally()
-        self._traffic_split = split.WeightedSplit(config.instance.name)
         self.exchanges_by_id: dict[ids.ExchangeId, exchanges.Exchange] = {}
-        self._deadline_heap: list[tuple[ids.Instant, ids.ExchangeId]] = []
-        self._retry_heap: list[tuple[ids.Instant, ids.ExchangeId]] = []
+        self._deadlines = timers.ExchangeTimers()
+        self._retries = timers.ExchangeTimers()
 
     def handle(self, event: messages.Event, now: ids.Instant) -> Effects:
         """Process one event and return the resulting effects."""
@@ -70,13 +64,14 @@
 
     def wake_at(self, now: ids.Instant) -> ids.Instant:
         """Return when ``TimePassed`` is due next."""
-        wake_time = NEVER
+        wake_time = min(
+            self._deadlines.due_at,
+            self._retries.due_at,
+            self._slot_placement.client.due_at,
+        )
         if self.dispatcher.has_waiting or self.token_queue.has_waiting:
-            wake_time = ids.Instant(now + const.QUEUE_CHECK_INTERVAL_SECONDS)
-        wake_time = min(wake_time, self._slot_placement.client.due_at)
-        for heap in (self._deadline_heap, self._retry_heap):
-            if heap:
-                wake_time = min(wake_time, heap[0][0])
+            check_at = ids.Instant(now + const.QUEUE_CHECK_INTERVAL_SECONDS)
+            wake_time = min(wake_time, check_at)
         return wake_time
 
     @HANDLERS.register(messages.RequestArrived)
@@ -84,11 +79,11 @@
         self, event: messages.RequestArrived, now: ids.Instant
     ) -> Effects:
         try:
-            exchange = self._create_exchange(event, now)
+            exchange = self._intake.create_exchange(event, now)
         except errors.RouterError as error:
             return [messages.Refuse(exchange=event.exchange, error=error)]
         self.exchanges_by_id[exchange.id] = exchange
-        heapq.heappush(self._deadline_heap, (exchange.deadline, exchange.id))
+        self._deadlines.add(exchange.id, exchange.deadline)
         if exchange.match.workspace is None:
             return self._accept(exchange, now)
         return self._take_token(exchange, now)
@@ -146,42 +141,6 @@
         self._slot_broker.report(event, now)
         return []
 
-    def _create_exchange(
-        self, event: messages.RequestArrived, now: ids.Instant
-    ) -> exchanges.Exchange:
-        """Match a request to its route and create its exchange."""
-        if self.route_table is None:
-            raise errors.StaleInstance(
-                "no configuration has been received yet",
-                retry_after=const.MAX_RETRY_AFTER_SECONDS / 2,
-            )
-        head = event.head
-        match = self.route_table.match(head.host, head.path, head.key_digest)
-        if match.workspace is not None:
-            self._check_configuration_age(now)
-        route = match.route
-        return exchanges.Exchange(
-            id=event.exchange,
-            head=head,
-            match=match,
-            service=self._traffic_split.choose(route),
-            arrived_at=now,
-            deadline=min(head.deadline, ids.Instant(now + route.timeout)),
-        )
-
-    def _check_configuration_age(self, now: ids.Instant) -> None:
-        """Raise if the configuration is too old to trust caller keys.
-
-        A key may have been withdrawn since it was last confirmed.
-        """
-        age = now - self.configuration_confirmed_at
-        if age <= self._config.freshness.longest_age:
-            return
-        raise errors.StaleInstance(
-            f"configuration was last confirmed {age:.1f} s ago",
-            retry_after=const.MAX_RETRY_AFTER_SECONDS / 2,
-        )
-
     def _take_token(
         self, exchange: exchanges.Exchange, now: ids.Instant
     ) -> Effects:
@@ -283,7 +242,7 @@
         self, exchange: exchanges.Exchange, retry_at: ids.Instant
     ) -> Effects:
         exchange.phase = Phase.RETRY_DELAY
-        heapq.heappush(self._retry_heap, (retry_at, exchange.id))
+        self._retries.add(exchange.id, retry_at)
         return []
 
     def _enqueue(
@@ -412,11 +371,9 @@
         self, event: messages.TimePassed, now: ids.Instant
     ) -> Effects:
         effects: Effects = []
-        while self._deadline_heap and self._deadline_heap[0][0] <= now:
-            _, exchange_id = heapq.heappop(self._deadline_heap)
+        for exchange_id in self._deadlines.pop_due(now):
             effects.extend(self._refuse_past_deadline(exchange_id, now))
-        while self._retry_heap and self._retry_heap[0][0] <= now:
-            _, exchange_id = heapq.heappop(self._retry_heap)
+        for exchange_id in self._retries.pop_due(now):
             exchange = self.exchanges_by_id.get(exchange_id)
             if exchange is not None and exchange.phase is Phase.RETRY_DELAY:
                 effects.extend(self._enqueue(exchange, now))
@@ -471,11 +428,9 @@
     def _on_configuration_changed(
         self, event: messages.ConfigurationChanged, now: ids.Instant
     ) -> Effects:
-        current = self.route_table
         configuration = event.configuration
-        if current and current.configuration.version >= configuration.version:
+        if not self._intake.set_configuration(configuration):
             return []
-        self.route_table = table.RouteTable(configuration)
         self.token_queue.limiter.set_workspaces(configuration.workspaces)
         self.fleet.set_services(configuration.services)
         return []
@@ -484,7 +439,7 @@
     def _on_settings_changed(
         self, event: settings.SettingsChanged, now: ids.Instant
     ) -> Effects:
-        self._config = event.settings
+        self._intake.set_settings(event.settings)
         self.retry_budget.set_settings(event.settings.retries)
         self._retry_policy.set_settings(event.settings.requests)
         return []
@@ -493,9 +448,7 @@
     def _on_configuration_confirmed(
         self, event: messages.ConfigurationConfirmed, now: ids.Instant
     ) -> Effects:
-        self.configuration_confirmed_at = max(
-            self.configuration_confirmed_at, event.confirmed_at
-        )
+        self._intake.confirm(event.confirmed_at)
         return []
 
     @HANDLERS.register(upstream_events.RegistrationsChanged)
@@ -551,8 +504,7 @@
     def _requeue_waiting(self, now: ids.Instant) -> Effects:
         """Queue waiting requests again after the upstreams changed."""
         waiting_ids = self.dispatcher.remove_all()
-        waiting_ids.extend(exchange_id for _, exchange_id in self._retry_heap)
-        self._retry_heap.clear()
+        waiting_ids.extend(self._retries.remove_all())
         effects: Effects = []
         for exchange_id in waiting_ids:
             exchange = self.exchanges_by_id.get(exchange_id)
