Back off from a holder that resets connections

Cause: a holder that is full resets connections; the request was sent once more to the same holder at once, and ended with 502. Change: a connection that is reset without a byte of a response is reported so. For a divided service the limit on the requests under way at the holder is halved then, and nothing is sent there for a service time, up to 1 s while it stays full; responses raise the limit. A holder that has just reported a free slot is not full: there a response was lost. What may have run is still repeated only if it is idempotent.

--- a/dragonflyshelf/core/scheduling/coordinator.py
+++ b/dragonflyshelf/core/scheduling/coordinator.py
@@ -200,6 +200,8 @@
         upstream = exchange.upstream
         upstream.finish(event.result, seconds, event.report, now)
         service = self.fleet.service_state(exchange.service)
+        if event.is_turned_away and self.fleet.is_sharded(exchange.service):
+            upstream.record_turned_away(service.mean_service_time, now)
         if event.result is state.AttemptResult.RESPONDED:
             incarnation = upstream.registration.incarnation
             service.record_response(incarnation, seconds, now)
--- a/dragonflyshelf/core/scheduling/messages.py
+++ b/dragonflyshelf/core/scheduling/messages.py
@@ -29,6 +29,8 @@
 
     ``error`` is None after a complete response. ``response_started`` is
     true once any part of the response has been sent to the caller.
+    ``is_turned_away`` is set if the connection was reset without any byte of
+    a response, as upstreams do that are full; the request may have run.
     """
 
     exchange: ids.ExchangeId
@@ -37,6 +39,7 @@
     error: errors.RouterError | None
     response_started: bool
     report: upstreams.LoadReport | None = None
+    is_turned_away: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/dragonflyshelf/core/upstreams/state.py
+++ b/dragonflyshelf/core/upstreams/state.py
@@ -3,6 +3,7 @@
 import enum
 
 from dragonflyshelf.core import ids
+from dragonflyshelf.core.upstreams import concurrency
 from dragonflyshelf.core.upstreams import const
 from dragonflyshelf.core.upstreams import objects
 
@@ -41,6 +42,9 @@
         self._report: objects.LoadReport | None = None
         self._reported_at = ids.Instant(0.0)
         self._in_flight_at_report = 0
+        self._concurrency_limit = concurrency.ConcurrencyLimit(
+            registration.slots + const.MAX_EXCESS_REQUEST_COUNT
+        )
 
     def start(self) -> None:
         """Record an attempt that is sent."""
@@ -62,6 +66,7 @@
         if result is AttemptResult.RESPONDED:
             self._update_service_time(seconds)
             self._record_outcome(0.0, now)
+            self._concurrency_limit.record_response()
         elif result is AttemptResult.FAILED:
             self._record_outcome(1.0, now)
         elif result is AttemptResult.UNREACHABLE:
@@ -72,6 +77,20 @@
                 now + const.DECLINE_BACKOFF_SECONDS
             )
 
+    def record_turned_away(
+        self, default_service_time: float, now: ids.Instant
+    ) -> None:
+        """Record that the upstream reset a request without a response.
+
+        If it has lately reported a free slot, the response was lost.
+        """
+        age = now - self._reported_at
+        is_recent = age < const.LOAD_REPORT_TTL_SECONDS
+        if self._report is not None and is_recent and self.has_free_slot(now):
+            return
+        service_time = self.service_time or default_service_time
+        self._concurrency_limit.record_full(self.in_flight, service_time, now)
+
     def load(self, now: ids.Instant) -> float:
         """Return the estimated requests of all instances at the upstream."""
         other_load = 0.0
@@ -89,6 +108,8 @@
         if now < self._backoff_until:
             return False
         capacity = self.registration.slots + const.MAX_EXCESS_REQUEST_COUNT
+        if not self._concurrency_limit.has_room(self.in_flight, now):
+            return False
         return self.load(now) < capacity
 
     def has_free_slot(self, now: ids.Instant) -> bool:
--- a/dragonflyshelf/runtime/gateway/router.py
+++ b/dragonflyshelf/runtime/gateway/router.py
@@ -137,6 +137,7 @@
                 error=message.error,
                 response_started=message.response_started,
                 report=message.report,
+                is_turned_away=message.is_turned_away,
             )
         )
 
--- a/dragonflyshelf/runtime/messages.py
+++ b/dragonflyshelf/runtime/messages.py
@@ -57,6 +57,8 @@
     ``response_started`` is true once the head of a response has been sent
     to the origin. ``withheld_response`` is the complete server error that
     the origin has not got, in the parts in which it would.
+    ``is_turned_away`` is set if the connection was reset without any byte of
+    a response.
     """
 
     exchange: ids.ExchangeId
@@ -67,6 +69,7 @@
     status: int = 0
     report: upstreams.LoadReport | None = None
     withheld_response: tuple[ResponsePart, ...] = ()
+    is_turned_away: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/dragonflyshelf/runtime/upstreams/connection.py
+++ b/dragonflyshelf/runtime/upstreams/connection.py
@@ -115,6 +115,8 @@
 
     def _reset_response_state(self) -> None:
         self._request_sent = False
+        self._has_received_data = False
+        self._is_turned_away = False
         self._response_started = False
         self._withheld: withheld.WithheldResponse | None = None
         self._is_body_complete = False
@@ -203,6 +205,7 @@
         if self._attempt is None:
             self._close()
             return
+        self._has_received_data = True
         self._http.receive_data(message.data)
         self._process_events()
 
@@ -221,6 +224,11 @@
     def _on_socket_closed(self, message: sockets.SocketClosed) -> None:
         self._transport = None
         if self._attempt is not None:
+            self._is_turned_away = (
+                bool(message.error)
+                and self._request_sent
+                and not self._has_received_data
+            )
             self._fail_with_upstream_error(f"connection lost: {message.error}")
         self._close()
 
@@ -549,6 +557,7 @@
                 status=self._status,
                 report=self._load_report,
                 withheld_response=withheld_response,
+                is_turned_away=self._is_turned_away,
             )
         )
 
--- a/tests/runtime/upstreams/test_connection.py
+++ b/tests/runtime/upstreams/test_connection.py
@@ -276,6 +276,42 @@
         asyncio.run(async_run())
 
 
+class TestRequestTurnedAway:
+    """Upstreams that are full reset the connection."""
+
+    @pytest.mark.parametrize("data", [b"", b"HTTP/1.1 200 OK\r\n"])
+    def test_reset(self, data: bytes) -> None:
+        """Only a reset without any byte of a response is reported so."""
+
+        async def async_run() -> None:
+            async with async_run_harness() as harness:
+                harness.start()
+                await harness.async_wait_attached()
+                harness.writer.write(data)
+                await harness.writer.drain()
+                await asyncio.sleep(0.05)
+                sockets.reset(harness.writer.transport)
+                ended = await harness.async_attempt_ended()
+                assert ended.is_turned_away == (not data)
+                assert ended.error is not None
+                assert ended.error.outcome is states.Outcome.UNKNOWN
+
+        asyncio.run(async_run())
+
+    def test_closed(self) -> None:
+        """An orderly close says nothing about the upstream's room."""
+
+        async def async_run() -> None:
+            async with async_run_harness() as harness:
+                harness.start()
+                await harness.async_wait_attached()
+                harness.writer.close()
+                ended = await harness.async_attempt_ended()
+                assert not ended.is_turned_away
+
+        asyncio.run(async_run())
+
+
 class TestInvalidResponse:
     """Incomplete and invalid responses are never reported as complete."""
 
