Assign the slots of holders by a broker with a queue for each

Cause: a holder's room was counted by each instance alone, so that full holders got what they had to turn away; who waits was decided where nothing is known. Change: members of a relay ask it for a slot of the holder of a request's key, retries included. It counts the room, keeps a queue for each holder in which its own requests wait too, acknowledges, assigns or refuses at once. Requests that still meet their objective are first. What is under way is reported to a new broker, what waited asks it again. Instances of an older build are not asked and ask as before. Queue entries are identified by a key that may be a member's request; the model of a data centre names the sender of an event to its relay. Undivided services are assigned as before.

--- a/dragonflyshelf/codec/relay.capnp
+++ b/dragonflyshelf/codec/relay.capnp
@@ -92,11 +92,19 @@
   service @1 :Text;
   objective @2 :Float32;
   remaining @3 :Float32;
+  shardKey @4 :Int32 = -1;
+  priority @5 :UInt8;
+  workspace @6 :Text;
+  patience @7 :Float32;
+  objectiveLeft @8 :Float32;
 }
 
 struct SlotAssignment {
   number @0 :UInt64;
   incarnation @1 :Text;
+  servesHolders @2 :Bool;
+  isQueued @3 :Bool;
+  retryAfter @4 :Float32;
 }
 
 struct LoadReport {
@@ -111,6 +119,14 @@
   result @1 :Text;
   seconds @2 :Float32;
   report @3 :LoadReport;
+  isTurnedAway @4 :Bool;
+}
+
+struct SlotInUse {
+  number @0 :UInt64;
+  service @1 :Text;
+  incarnation @2 :Text;
+  remaining @3 :Float32;
 }
 
 struct Frame {
@@ -122,5 +138,6 @@
     slotRequest @4 :SlotRequest;
     slotAssignment @5 :SlotAssignment;
     slotReport @6 :SlotReport;
+    slotInUse @7 :SlotInUse;
   }
 }
--- a/dragonflyshelf/codec/relay.py
+++ b/dragonflyshelf/codec/relay.py
@@ -16,6 +16,7 @@
         "borrow": messages.TokenRequests,
         "lend": messages.TokenAllocations,
         "slotAssignment": slots.SlotAssignment,
+        "slotInUse": slots.SlotInUse,
         "slotReport": slots.SlotReport,
         "slotRequest": slots.SlotRequest,
         "update": messages.Update,
--- a/dragonflyshelf/core/scheduling/coordinator.py
+++ b/dragonflyshelf/core/scheduling/coordinator.py
@@ -22,7 +22,9 @@
 from dragonflyshelf.core.scheduling import timers
 from dragonflyshelf.core import settings
 from dragonflyshelf.core.slots import broker
+from dragonflyshelf.core.slots import holders
 from dragonflyshelf.core.slots import messages as slots
+from dragonflyshelf.core.slots import tickets
 from dragonflyshelf.core import states
 from dragonflyshelf.core.upstreams import messages as upstream_events
 from dragonflyshelf.core.upstreams import service_times
@@ -50,7 +52,12 @@
         self.fleet = fleet.Fleet(config.instance)
         self.dispatcher = dispatcher.RequestDispatcher(self.fleet)
         self._slot_broker = broker.SlotBroker(self.fleet)
-        self._slot_placement = slot_placement.SlotPlacement(self.fleet)
+        self._holder_broker = holders.HolderBroker(
+            self.dispatcher, self._slot_broker
+        )
+        self._slot_placement = slot_placement.SlotPlacement(
+            self.fleet, self.dispatcher
+        )
         self._retry_policy = retries.RetryPolicy(config, self.retry_budget)
         self.shard_loads = loads.ShardLoads()
         self.service_times = service_times.ServiceTimeTally()
@@ -96,6 +103,12 @@
         key = exchange.head.shard_key
         if key is not None and self.fleet.is_sharded(exchange.service):
             self.shard_loads.record_request(exchange.service, key)
+        return self._place(exchange, now)
+
+    def _place(
+        self, exchange: exchanges.Exchange, now: ids.Instant
+    ) -> Effects:
+        """Request a slot from the broker, or queue the request here."""
         if self._slot_placement.may_request(exchange, now):
             return [self._slot_placement.request(exchange, now)]
         return self._enqueue(exchange, now)
@@ -108,37 +121,102 @@
 
         A slot that comes too late, or can't be used, is given back.
         """
+        effects = self._learn_capability(event, now)
         exchange_id = ids.ExchangeId(event.number)
         exchange = self.exchanges_by_id.get(exchange_id)
+        if event.is_queued:
+            return [
+                *effects,
+                *self._slot_placement.acknowledge(event, exchange, now),
+            ]
         is_waiting = self._slot_placement.client.remove(exchange_id)
         if exchange is None or not is_waiting:
-            return [*self._slot_placement.give_back(event)]
+            return [*effects, *self._slot_placement.give_back(event)]
+        if event.retry_after > 0:
+            return [*effects, *self._refuse_overloaded(exchange, event)]
         upstream = self._slot_placement.find_assigned(exchange, event, now)
         if upstream is not None:
-            return [self._send(exchange, upstream, now)]
+            return [*effects, self._send(exchange, upstream, now)]
         return [
+            *effects,
             *self._slot_placement.give_back(event),
             *self._enqueue(exchange, now),
         ]
 
+    def _learn_capability(
+        self, event: slots.SlotAssignment, now: ids.Instant
+    ) -> Effects:
+        """Report what is under way to a broker that now counts it.
+
+        What waits for a holder since the former broker asks again.
+        """
+        placement = self._slot_placement
+        if placement.client.serves_holders or not event.serves_holders:
+            return []
+        placement.client.serves_holders = True
+        effects: Effects = []
+        for exchange in self.exchanges_by_id.values():
+            effects.extend(placement.report_in_use(exchange, now))
+        for exchange_id in placement.client.waiting:
+            exchange = self.exchanges_by_id[exchange_id]
+            if self.fleet.is_sharded(exchange.service):
+                effects.append(placement.request(exchange, now))
+        return effects
+
+    def _refuse_overloaded(
+        self, exchange: exchanges.Exchange, event: slots.SlotAssignment
+    ) -> Effects:
+        error = errors.Overloaded(
+            "the broker has no place in the holder's queue,"
+            f" room expected in {event.retry_after:.2f} s",
+            retry_after=retries.bounded_retry_after(event.retry_after),
+        )
+        return self._refuse(exchange, error)
+
     @HANDLERS.register(slots.BrokerChanged)
     def _on_broker_changed(
         self, event: slots.BrokerChanged, now: ids.Instant
     ) -> Effects:
-        self._slot_placement.client.set_available(event.is_available)
-        return []
+        self._slot_placement.client.set_available(event.is_available, now)
+        return [slots.CAPABILITY_QUERY] if event.is_available else []
 
     @HANDLERS.register(slots.SlotRequested)
     def _on_slot_requested(
         self, event: slots.SlotRequested, now: ids.Instant
     ) -> Effects:
-        return [self._slot_broker.assign(event, now)]
+        request = event.request
+        if request.shard_key == slots.NO_SHARD_KEY:
+            return [self._slot_broker.assign(event, now)]
+        return [
+            *self._holder_broker.request(event, now),
+            *self._dispatch_queued(request.service, now),
+            *self._holder_broker.acknowledge(event),
+        ]
 
     @HANDLERS.register(slots.SlotReported)
     def _on_slot_reported(
         self, event: slots.SlotReported, now: ids.Instant
     ) -> Effects:
-        self._slot_broker.report(event, now)
+        service = self._slot_broker.report(event, now)
+        if service is None:
+            self._holder_broker.withdraw(event)
+            return []
+        if not self.fleet.is_sharded(service):
+            return []
+        return self._dispatch_queued(service, now)
+
+    @HANDLERS.register(slots.SlotInUseReported)
+    def _on_slot_in_use_reported(
+        self, event: slots.SlotInUseReported, now: ids.Instant
+    ) -> Effects:
+        self._slot_broker.record_in_use(event, now)
+        return []
+
+    @HANDLERS.register(slots.LinkClosed)
+    def _on_link_closed(
+        self, event: slots.LinkClosed, now: ids.Instant
+    ) -> Effects:
+        self.dispatcher.remove_link(event.link)
         return []
 
     def _take_token(
@@ -212,7 +290,11 @@
         exchange.phase = Phase.DONE
         effects: Effects = [
             *self._slot_placement.report(
-                exchange, event.result, event.report, now
+                exchange,
+                event.result,
+                event.report,
+                now,
+                event.is_turned_away,
             )
         ]
         if event.error is not None and not event.response_started:
@@ -237,7 +319,7 @@
         if event.result is not state.AttemptResult.UNREACHABLE:
             self.retry_budget.record_retry(exchange.service, now)
         if not delay:
-            return self._enqueue(exchange, now)
+            return self._place(exchange, now)
         return self._schedule_retry(exchange, ids.Instant(now + delay))
 
     def _schedule_retry(
@@ -284,9 +366,13 @@
     ) -> Effects:
         """Send queued requests of a service to upstreams with capacity."""
         effects: Effects = []
-        for exchange_id, upstream in self.dispatcher.assign(service, now):
-            exchange = self.exchanges_by_id[exchange_id]
-            effects.append(self._send(exchange, upstream, now))
+        for waiting, upstream in self.dispatcher.assign(service, now):
+            if isinstance(waiting, tickets.SlotTicket):
+                effects.append(
+                    self._holder_broker.assign(waiting, upstream, now)
+                )
+            else:
+                effects.append(self._send(waiting, upstream, now))
         return effects
 
     def _send(
@@ -352,7 +438,7 @@
         if phase is Phase.AWAITING_TOKEN and exchange.workspace is not None:
             self.token_queue.cancel(exchange.id, exchange.workspace)
         if phase is Phase.AWAITING_SLOT:
-            self._slot_placement.client.remove(exchange.id)
+            return [*self._slot_placement.withdraw(exchange)]
         if phase is not Phase.IN_FLIGHT or exchange.upstream is None:
             return []
         exchange.upstream.finish(
@@ -378,7 +464,7 @@
         for exchange_id in self._retries.pop_due(now):
             exchange = self.exchanges_by_id.get(exchange_id)
             if exchange is not None and exchange.phase is Phase.RETRY_DELAY:
-                effects.extend(self._enqueue(exchange, now))
+                effects.extend(self._place(exchange, now))
         effects.extend(
             self._apply_decisions(self.token_queue.resolve_overdue(now), now)
         )
@@ -393,8 +479,8 @@
     def _check_queues(self, now: ids.Instant) -> Effects:
         """Refuse requests that waited too long, and send what can be."""
         effects: Effects = []
-        for exchange_id in self.dispatcher.remove_expired(now):
-            effects.extend(self._refuse_expired(exchange_id, now))
+        for waiting in self.dispatcher.remove_expired(now):
+            effects.extend(self._refuse_expired(waiting, now))
         for service in self.fleet.service_names():
             effects.extend(self._dispatch_queued(service, now))
         return effects
@@ -415,9 +501,14 @@
         return [*effects, *self._refuse(exchange, error)]
 
     def _refuse_expired(
-        self, exchange_id: ids.ExchangeId, now: ids.Instant
+        self, waiting: dispatcher.Waiting, now: ids.Instant
     ) -> Effects:
-        exchange = self.exchanges_by_id[exchange_id]
+        if isinstance(waiting, tickets.SlotTicket):
+            service = self.fleet.service_state(waiting.request.service)
+            return [
+                self._holder_broker.expire(waiting, service.mean_service_time)
+            ]
+        exchange = waiting
         service = self.fleet.service_state(exchange.service)
         waited = now - exchange.arrived_at
         error = errors.Overloaded(
@@ -505,15 +596,18 @@
 
     def _requeue_waiting(self, now: ids.Instant) -> Effects:
         """Queue waiting requests again after the upstreams changed."""
-        waiting_ids = self.dispatcher.remove_all()
-        waiting_ids.extend(self._retries.remove_all())
         effects: Effects = []
-        for exchange_id in waiting_ids:
+        queued = self.dispatcher.remove_all()
+        delayed_ids = self._retries.remove_all()
+        for waiting in queued:
+            if isinstance(waiting, tickets.SlotTicket):
+                effects.extend(self._holder_broker.push(waiting, now))
+                service = waiting.request.service
+                effects.extend(self._dispatch_queued(service, now))
+            else:
+                effects.extend(self._enqueue(waiting, now))
+        for exchange_id in delayed_ids:
             exchange = self.exchanges_by_id.get(exchange_id)
-            if exchange is None or exchange.phase not in (
-                Phase.RETRY_DELAY,
-                Phase.QUEUED,
-            ):
-                continue
-            effects.extend(self._enqueue(exchange, now))
+            if exchange is not None and exchange.phase is Phase.RETRY_DELAY:
+                effects.extend(self._enqueue(exchange, now))
         return effects
--- a/dragonflyshelf/core/scheduling/dispatcher.py
+++ b/dragonflyshelf/core/scheduling/dispatcher.py
@@ -1,7 +1,8 @@
 """Queueing of requests and dispatch to upstreams with capacity.
 
 Requests are queued here and not at the upstreams, because here they can
-still be reordered, sent to another upstream or refused.
+still be reordered, sent to another upstream or refused. At a broker the
+requests of its members wait in the queues of holders, too.
 """
 
 from collections import abc
@@ -14,8 +15,12 @@
 from dragonflyshelf.core.scheduling import queue
 from dragonflyshelf.core.scheduling import retries
 from dragonflyshelf.core.scheduling import service as services
+from dragonflyshelf.core.slots import messages as slots
+from dragonflyshelf.core.slots import tickets
 from dragonflyshelf.core.upstreams import state
 
+Waiting = exchanges.Exchange | tickets.SlotTicket
+
 
 class RequestDispatcher:
     """Queues requests and assigns them to upstreams with capacity."""
@@ -24,11 +29,18 @@
         """Create empty queues for the upstreams of a fleet."""
         self._fleet = fleet
         self._exchanges_by_id: dict[ids.ExchangeId, exchanges.Exchange] = {}
+        self._tickets_by_key: dict[slots.SlotKey, tickets.SlotTicket] = {}
+        self._serves_members = False
 
     @property
     def has_waiting(self) -> bool:
         """Return whether any request is queued."""
-        return bool(self._exchanges_by_id)
+        return bool(self._exchanges_by_id or self._tickets_by_key)
+
+    @property
+    def ticket_count(self) -> int:
+        """Return the number of members' requests that are queued."""
+        return len(self._tickets_by_key)
 
     def push(self, exchange: exchanges.Exchange, now: ids.Instant) -> None:
         """Queue a request.
@@ -38,34 +50,85 @@
         ``BadRequest`` if its shard key is missing.
         """
         service = self._fleet.service_state(exchange.service)
-        incarnation: ids.UpstreamIncarnation | None = None
-        target_queue = service.queue
+        holder: state.UpstreamState | None = None
         if self._fleet.is_sharded(exchange.service):
-            holder = self._find_holder(service, exchange)
+            holder = self._find_holder(service, exchange.head.shard_key)
             candidates = [holder]
-            incarnation = holder.registration.incarnation
-            target_queue = service.holder_queue(incarnation)
         else:
             candidates = self._find_usable_upstreams(exchange.service)
-        latest_start = self._latest_start(service, exchange, now)
+        latest_start = self.latest_start(exchange, now)
         self._check_backoff(candidates, latest_start, now)
-        if len(target_queue):
-            self._check_wait(
-                service, incarnation, target_queue, exchange, latest_start, now
-            )
-        target_queue.push(
-            queue.Entry(
-                exchange=exchange.id,
-                priority=exchange.match.priority,
-                workspace=exchange.workspace,
-                queued_at=now,
-                latest_start=latest_start,
+        objective_start = queue.NEVER
+        if holder is not None and self._serves_members:
+            objective = exchange.match.route.latency_objective
+            objective_start = ids.Instant(
+                exchange.arrived_at + objective - service.mean_service_time
             )
+        entry = queue.Entry(
+            key=exchange.id,
+            priority=exchange.match.priority,
+            workspace=exchange.workspace,
+            queued_at=now,
+            latest_start=latest_start,
+            objective_start=objective_start,
         )
+        target_queue = self._push_entry(service, holder, entry, now)
         exchange.phase = exchanges.Phase.QUEUED
         exchange.current_queue = target_queue
         self._exchanges_by_id[exchange.id] = exchange
 
+    def push_ticket(
+        self, ticket: tickets.SlotTicket, now: ids.Instant
+    ) -> None:
+        """Queue a member's request for the holder of its key.
+
+        Raises ``NoShardOwner`` or ``NoUpstreamAvailable`` if the member has
+        to decide itself, and ``Overloaded`` if it would wait too long.
+        """
+        request = ticket.request
+        if not self._fleet.is_sharded(request.service):
+            raise errors.NoUpstreamAvailable(
+                f"service {request.service} is not known as divided"
+            )
+        self._serves_members = True
+        service = self._fleet.service_state(request.service)
+        holder = self._find_holder(service, request.shard_key)
+        if holder.is_warming_up(now):
+            raise errors.NoUpstreamAvailable(
+                "the senders to a holder that warms up are fixed"
+            )
+        self._check_backoff([holder], ticket.latest_start, now)
+        entry = queue.Entry(
+            key=ticket.key,
+            priority=request.priority,
+            workspace=request.workspace or None,
+            queued_at=now,
+            latest_start=ticket.latest_start,
+            objective_start=ids.Instant(
+                ticket.objective_at - service.mean_service_time
+            ),
+        )
+        self._push_entry(service, holder, entry, now)
+        self._tickets_by_key[ticket.key] = ticket
+
+    def _push_entry(
+        self,
+        service: services.ServiceState,
+        holder: state.UpstreamState | None,
+        entry: queue.Entry,
+        now: ids.Instant,
+    ) -> queue.FairQueue:
+        """Add an entry to the queue of a holder, or of the service."""
+        incarnation: ids.UpstreamIncarnation | None = None
+        target_queue = service.queue
+        if holder is not None:
+            incarnation = holder.registration.incarnation
+            target_queue = service.holder_queue(incarnation)
+        if len(target_queue):
+            self._check_wait(service, incarnation, target_queue, entry, now)
+        target_queue.push(entry)
+        return target_queue
+
     def _find_usable_upstreams(
         self, service: ids.ServiceName
     ) -> list[state.UpstreamState]:
@@ -94,9 +157,8 @@
         )
 
     def _find_holder(
-        self, service: services.ServiceState, exchange: exchanges.Exchange
+        self, service: services.ServiceState, key: ids.ShardKey | None
     ) -> state.UpstreamState:
-        key = exchange.head.shard_key
         if key is None:
             raise errors.BadRequest("request has no shard key")
         holder = service.holder(key)
@@ -107,12 +169,11 @@
             )
         return holder
 
-    def _latest_start(
-        self,
-        service: services.ServiceState,
-        exchange: exchanges.Exchange,
-        now: ids.Instant,
+    def latest_start(
+        self, exchange: exchanges.Exchange, now: ids.Instant
     ) -> ids.Instant:
+        """Return until when a request may wait for an upstream."""
+        service = self._fleet.service_state(exchange.service)
         allowed_time = exchange.deadline - exchange.arrived_at
         latest_start = (
             exchange.arrived_at + allowed_time * const.MAX_QUEUE_TIME_RATIO
@@ -125,15 +186,14 @@
         service: services.ServiceState,
         incarnation: ids.UpstreamIncarnation | None,
         target_queue: queue.FairQueue,
-        exchange: exchanges.Exchange,
-        latest_start: ids.Instant,
+        entry: queue.Entry,
         now: ids.Instant,
     ) -> None:
         """Raise ``Overloaded`` for a full queue or too long a wait."""
-        ahead_count = target_queue.count_ahead(exchange.match.priority)
+        ahead_count = target_queue.count_ahead(entry, now)
         estimated_wait = ahead_count / service.throughput(incarnation, now)
         if (
-            now + estimated_wait <= latest_start
+            now + estimated_wait <= entry.latest_start
             and len(target_queue) < const.MAX_QUEUED_REQUEST_COUNT
         ):
             return
@@ -149,9 +209,29 @@
             exchange.current_queue.remove(exchange.id)
         self._exchanges_by_id.pop(exchange.id, None)
 
+    def has_ticket(self, key: slots.SlotKey) -> bool:
+        """Return whether a member's request is queued."""
+        return key in self._tickets_by_key
+
+    def remove_ticket(self, key: slots.SlotKey) -> bool:
+        """Remove a member's request; return whether it was queued."""
+        ticket = self._tickets_by_key.pop(key, None)
+        if ticket is None:
+            return False
+        service = self._fleet.service_state(ticket.request.service)
+        return any(
+            target_queue.remove(key) for target_queue in service.all_queues()
+        )
+
+    def remove_link(self, link: slots.Link) -> None:
+        """Remove the requests of a member that has disconnected."""
+        for key in list(self._tickets_by_key):
+            if key.link == link:
+                self.remove_ticket(key)
+
     def assign(
         self, service_name: ids.ServiceName, now: ids.Instant
-    ) -> abc.Iterator[tuple[ids.ExchangeId, state.UpstreamState]]:
+    ) -> abc.Iterator[tuple[Waiting, state.UpstreamState]]:
         """Yield requests of a service to send, each with its upstream.
 
         The caller must count each attempt before it requests the next
@@ -166,11 +246,11 @@
             while holder is not None and len(target_queue):
                 if not self._fleet.can_accept(holder, now):
                     break
-                yield self._pop(target_queue), holder
+                yield self._take(target_queue.pop(now).key), holder
 
     def _assign_unsharded(
         self, service: services.ServiceState, now: ids.Instant
-    ) -> abc.Iterator[tuple[ids.ExchangeId, state.UpstreamState]]:
+    ) -> abc.Iterator[tuple[exchanges.Exchange, state.UpstreamState]]:
         while len(service.queue):
             available = [
                 upstream
@@ -179,8 +259,8 @@
             ]
             if not available:
                 return
-            exchange_id = service.queue.pop().exchange
-            exchange = self._exchanges_by_id.pop(exchange_id)
+            exchange = self._take(service.queue.pop(now).key)
+            assert isinstance(exchange, exchanges.Exchange)
             untried = [
                 upstream
                 for upstream in available
@@ -190,36 +270,42 @@
             if exchange.is_local_full:
                 candidates = self._fleet.remote(candidates) or candidates
             objective = exchange.match.route.latency_objective
-            yield exchange_id, self._fleet.choose(
+            yield exchange, self._fleet.choose(
                 service, candidates, objective, now
             )
 
-    def _pop(self, target_queue: queue.FairQueue) -> ids.ExchangeId:
-        entry = target_queue.pop()
-        del self._exchanges_by_id[entry.exchange]
-        return entry.exchange
+    def _take(self, key: queue.EntryKey) -> Waiting:
+        """Return a request that has left its queue."""
+        if isinstance(key, slots.SlotKey):
+            return self._tickets_by_key.pop(key)
+        return self._exchanges_by_id.pop(key)
 
-    def remove_expired(self, now: ids.Instant) -> list[ids.ExchangeId]:
+    def remove_expired(self, now: ids.Instant) -> list[Waiting]:
         """Remove and return the requests past their latest start."""
-        expired = [
-            entry.exchange
+        return [
+            self._take(entry.key)
             for service_name in self._fleet.service_names()
             for target_queue in self._fleet.service_state(
                 service_name
             ).all_queues()
             for entry in target_queue.remove_expired(now)
         ]
-        for exchange_id in expired:
-            del self._exchanges_by_id[exchange_id]
-        return expired
 
-    def remove_all(self) -> list[ids.ExchangeId]:
-        """Remove and return every request, in order of arrival."""
-        exchange_ids = sorted(self._exchanges_by_id)
+    def remove_all(self) -> list[Waiting]:
+        """Remove and return every request, in order of arrival.
+
+        Those of this instance come first.
+        """
+        waiting: list[Waiting] = [
+            self._exchanges_by_id[exchange]
+            for exchange in sorted(self._exchanges_by_id)
+        ]
+        waiting.extend(self._tickets_by_key.values())
         self._exchanges_by_id.clear()
+        self._tickets_by_key.clear()
         for service_name in self._fleet.service_names():
             for target_queue in self._fleet.service_state(
                 service_name
             ).all_queues():
                 target_queue.remove_all()
-        return exchange_ids
+        return waiting
--- a/dragonflyshelf/core/scheduling/fleet.py
+++ b/dragonflyshelf/core/scheduling/fleet.py
@@ -212,11 +212,23 @@
         now: ids.Instant,
     ) -> state.UpstreamState | None:
         """Return an upstream that may get a request now, None otherwise."""
+        upstream = self.find_willing(name, incarnation, now)
+        if upstream is None or not self.can_accept(upstream, now):
+            return None
+        return upstream
+
+    def find_willing(
+        self,
+        name: ids.ServiceName,
+        incarnation: ids.UpstreamIncarnation,
+        now: ids.Instant,
+    ) -> state.UpstreamState | None:
+        """Return an upstream that wants requests, whatever its load is."""
         upstreams = self.service_state(name).upstreams_by_incarnation
         upstream = upstreams.get(incarnation)
         if upstream is None or not self.is_usable(upstream):
             return None
-        return upstream if self.can_accept(upstream, now) else None
+        return upstream if now >= self.backoff_until(upstream) else None
 
     def _warmup_rate(self, upstream: state.UpstreamState) -> float:
         service_config = self._services_by_name.get(
--- a/dragonflyshelf/core/scheduling/messages.py
+++ b/dragonflyshelf/core/scheduling/messages.py
@@ -127,6 +127,7 @@
     | Refuse
     | ReturnUnsent
     | SendUpstream
+    | slots.SlotInUse
     | slots.SlotReport
     | slots.SlotRequest
     | quota.TokenRequest
@@ -140,10 +141,12 @@
     | slots.BrokerChanged
     | ExchangeFinished
     | InstancesChanged
+    | slots.LinkClosed
     | upstream_events.RegistrationsChanged
     | RequestArrived
     | settings.SettingsChanged
     | slots.SlotAssignment
+    | slots.SlotInUseReported
     | slots.SlotReported
     | slots.SlotRequested
     | TimePassed
--- a/dragonflyshelf/core/scheduling/slot_placement.py
+++ b/dragonflyshelf/core/scheduling/slot_placement.py
@@ -1,10 +1,14 @@
 """Placement of requests in slots that a broker assigns."""
 
+import dataclasses
+
 from dragonflyshelf.core import ids
+from dragonflyshelf.core.scheduling import dispatcher as dispatchers
 from dragonflyshelf.core.scheduling import exchanges
 from dragonflyshelf.core.scheduling import fleet as fleets
 from dragonflyshelf.core.slots import client
 from dragonflyshelf.core.slots import messages
+from dragonflyshelf.core.slots import tickets
 from dragonflyshelf.core.upstreams import objects
 from dragonflyshelf.core.upstreams import state
 
@@ -12,9 +16,12 @@
 class SlotPlacement:
     """Slot requests of this instance's exchanges, and their reports."""
 
-    def __init__(self, fleet: fleets.Fleet) -> None:
+    def __init__(
+        self, fleet: fleets.Fleet, dispatcher: dispatchers.RequestDispatcher
+    ) -> None:
         """Create a placement without a broker."""
         self._fleet = fleet
+        self._dispatcher = dispatcher
         self.client = client.SlotClient()
 
     def may_request(
@@ -22,11 +29,20 @@
     ) -> bool:
         """Return whether the upstream of a request is to be assigned.
 
-        Those of a divided service follow from its key.
+        For a divided service that is the holder of the key, if the broker
+        assigns its slots. The senders to one that warms up are fixed.
         """
-        if self._fleet.is_sharded(exchange.service):
+        if not self.client.may_request(now):
+            return False
+        if not self._fleet.is_sharded(exchange.service):
+            return exchange.attempt_count == 0
+        key = exchange.head.shard_key
+        if key is None or not self.client.serves_holders:
             return False
-        return self.client.may_request(now)
+        holder = self._fleet.service_state(exchange.service).holder(key)
+        if holder is None or not self._fleet.is_usable(holder):
+            return False
+        return not holder.is_warming_up(now)
 
     def request(
         self, exchange: exchanges.Exchange, now: ids.Instant
@@ -34,12 +50,44 @@
         """Return the request for a slot, for which the exchange waits."""
         exchange.phase = exchanges.Phase.AWAITING_SLOT
         self.client.record_request(exchange.id, now)
-        return messages.SlotRequest(
+        objective = exchange.match.route.latency_objective
+        request = messages.SlotRequest(
             number=exchange.id,
             service=exchange.service,
-            objective=exchange.match.route.latency_objective,
+            objective=objective,
             remaining=max(exchange.deadline - now, 0.0),
         )
+        if not self._fleet.is_sharded(exchange.service):
+            return request
+        key = exchange.head.shard_key
+        assert key is not None
+        latest_start = self._dispatcher.latest_start(exchange, now)
+        return dataclasses.replace(
+            request,
+            shard_key=key,
+            priority=min(
+                max(exchange.match.priority, 0), tickets.MAX_PRIORITY
+            ),
+            workspace=exchange.workspace or ids.WorkspaceId(""),
+            patience=latest_start - now,
+            objective_left=max(exchange.arrived_at + objective - now, 0.0),
+        )
+
+    def acknowledge(
+        self,
+        event: messages.SlotAssignment,
+        exchange: exchanges.Exchange | None,
+        now: ids.Instant,
+    ) -> list[messages.SlotReport]:
+        """Record that a request is queued at the broker.
+
+        Return the report that withdraws one that does not wait any more.
+        """
+        if exchange is not None and self.client.is_waiting(exchange.id):
+            latest_start = self._dispatcher.latest_start(exchange, now)
+            self.client.acknowledge(exchange.id, latest_start)
+            return []
+        return [_cancelled(event.number)]
 
     def find_assigned(
         self,
@@ -47,10 +95,20 @@
         event: messages.SlotAssignment,
         now: ids.Instant,
     ) -> state.UpstreamState | None:
-        """Return the upstream that was assigned, None if it is not usable."""
-        upstream = self._fleet.find_acceptable(
-            exchange.service, event.incarnation, now
-        )
+        """Return the upstream that was assigned, None if it is not usable.
+
+        The broker knows the room of a holder better than this instance.
+        """
+        if self._fleet.is_sharded(exchange.service):
+            upstream = self._fleet.find_willing(
+                exchange.service, event.incarnation, now
+            )
+            if upstream is not None and upstream.is_warming_up(now):
+                upstream = None
+        else:
+            upstream = self._fleet.find_acceptable(
+                exchange.service, event.incarnation, now
+            )
         exchange.has_slot = upstream is not None
         exchange.is_local_full = upstream is None
         return upstream
@@ -61,11 +119,37 @@
         """Return the report of a slot that is not used, if there is one."""
         if event.incarnation == messages.NO_UPSTREAM:
             return []
+        return [_cancelled(event.number)]
+
+    def withdraw(
+        self, exchange: exchanges.Exchange
+    ) -> list[messages.SlotReport]:
+        """Withdraw a request that has ended; return the report of it.
+
+        Those for undivided services are answered already.
+        """
+        if not self.client.remove(exchange.id):
+            return []
+        if not self._fleet.is_sharded(exchange.service):
+            return []
+        return [_cancelled(exchange.id)]
+
+    def report_in_use(
+        self, exchange: exchanges.Exchange, now: ids.Instant
+    ) -> list[messages.SlotInUse]:
+        """Return the report to a new broker of an attempt under way."""
+        upstream = exchange.upstream
+        if exchange.phase is not exchanges.Phase.IN_FLIGHT or upstream is None:
+            return []
+        if not self._fleet.is_sharded(exchange.service):
+            return []
+        exchange.has_slot = True
         return [
-            messages.SlotReport(
-                number=event.number,
-                result=state.AttemptResult.CANCELLED,
-                seconds=0.0,
+            messages.SlotInUse(
+                number=exchange.id,
+                service=exchange.service,
+                incarnation=upstream.registration.incarnation,
+                remaining=max(exchange.deadline - now, 0.0),
             )
         ]
 
@@ -75,6 +159,7 @@
         result: state.AttemptResult,
         load_report: objects.LoadReport | None,
         now: ids.Instant,
+        is_turned_away: bool = False,
     ) -> list[messages.SlotReport]:
         """Return the report of an attempt's end, if it was in a slot."""
         if not exchange.has_slot:
@@ -86,5 +171,13 @@
                 result=result,
                 seconds=now - exchange.attempt_started_at,
                 report=load_report or messages.NO_REPORT,
+                is_turned_away=is_turned_away,
             )
         ]
+
+
+def _cancelled(number: int) -> messages.SlotReport:
+    """Return the report of a slot, or of a wait for one, that is not used."""
+    return messages.SlotReport(
+        number=number, result=state.AttemptResult.CANCELLED, seconds=0.0
+    )
--- a/dragonflyshelf/core/slots/broker.py
+++ b/dragonflyshelf/core/slots/broker.py
@@ -12,10 +12,9 @@
 from dragonflyshelf.core.scheduling import fleet as fleets
 from dragonflyshelf.core.slots import const
 from dragonflyshelf.core.slots import messages
+from dragonflyshelf.core.slots import tickets
 from dragonflyshelf.core.upstreams import state
 
-SlotKey = tuple[messages.Link, int]
-
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class HeldSlot:
@@ -31,15 +30,15 @@
     def __init__(self, fleet: fleets.Fleet) -> None:
         """Create a broker that has assigned no slot."""
         self._fleet = fleet
-        self._held_by_key: dict[SlotKey, HeldSlot] = {}
-        self._terms: list[tuple[ids.Instant, int, SlotKey]] = []
+        self._held_by_key: dict[messages.SlotKey, HeldSlot] = {}
+        self._terms: list[tuple[ids.Instant, int, messages.SlotKey]] = []
         self._term_number = 0
 
     def assign(
         self, event: messages.SlotRequested, now: ids.Instant
     ) -> messages.AssignSlot:
         """Assign the slot with the least expected time, if one is free."""
-        self._release_overdue(now)
+        self.release_overdue(now)
         request = event.request
         upstream = self._fleet.choose_local(
             request.service, request.objective, now
@@ -47,31 +46,53 @@
         incarnation = messages.NO_UPSTREAM
         if upstream is not None:
             incarnation = upstream.registration.incarnation
-            self._hold(event, upstream, now)
+            self.hold(
+                messages.SlotKey(link=event.link, number=request.number),
+                request.service,
+                upstream,
+                request.remaining,
+                now,
+            )
         return messages.AssignSlot(
             link=event.link,
             assignment=messages.SlotAssignment(
-                number=request.number, incarnation=incarnation
+                number=request.number,
+                incarnation=incarnation,
+                serves_holders=True,
             ),
         )
 
-    def _hold(
+    def hold(
         self,
-        event: messages.SlotRequested,
+        key: messages.SlotKey,
+        service: ids.ServiceName,
         upstream: state.UpstreamState,
+        remaining: float,
         now: ids.Instant,
     ) -> None:
+        """Count a slot as in use, until its end is reported.
+
+        ``remaining`` is the time to the request's deadline in seconds.
+        """
         upstream.start()
-        key = (event.link, event.request.number)
-        self._held_by_key[key] = HeldSlot(
-            service=event.request.service, upstream=upstream
-        )
+        self._held_by_key[key] = HeldSlot(service=service, upstream=upstream)
         self._term_number += 1
-        term = min(const.MAX_TERM_SECONDS, max(0.0, event.request.remaining))
+        term = tickets.bounded_seconds(remaining)
         ends_at = ids.Instant(now + term + const.TERM_MARGIN_SECONDS)
         heapq.heappush(self._terms, (ends_at, self._term_number, key))
 
-    def _release_overdue(self, now: ids.Instant) -> None:
+    def record_in_use(
+        self, event: messages.SlotInUseReported, now: ids.Instant
+    ) -> None:
+        """Count an attempt that was under way before this broker."""
+        slot = event.slot
+        key = messages.SlotKey(link=event.link, number=slot.number)
+        service = self._fleet.service_state(slot.service)
+        upstream = service.upstreams_by_incarnation.get(slot.incarnation)
+        if upstream is not None and key not in self._held_by_key:
+            self.hold(key, slot.service, upstream, slot.remaining, now)
+
+    def release_overdue(self, now: ids.Instant) -> None:
         """Free the slots whose end was not reported."""
         while self._terms and self._terms[0][0] <= now:
             _, _, key = heapq.heappop(self._terms)
@@ -81,16 +102,20 @@
                     state.AttemptResult.CANCELLED, 0.0, None, now
                 )
 
-    def report(self, event: messages.SlotReported, now: ids.Instant) -> None:
+    def report(
+        self, event: messages.SlotReported, now: ids.Instant
+    ) -> ids.ServiceName | None:
         """Free a slot and learn from the attempt in it.
 
-        That one instance did not reach an upstream may be its own fault, so
-        this counts as any other failure.
+        Return the service of the slot, None if it is not known. That one
+        instance did not reach an upstream may be its own fault, so this
+        counts as any other failure.
         """
         report = event.report
-        held = self._held_by_key.pop((event.link, report.number), None)
+        key = messages.SlotKey(link=event.link, number=report.number)
+        held = self._held_by_key.pop(key, None)
         if held is None:
-            return
+            return None
         load_report = None
         if report.report.slots:
             load_report = report.report
@@ -98,7 +123,11 @@
         if result is state.AttemptResult.UNREACHABLE:
             result = state.AttemptResult.FAILED
         held.upstream.finish(result, report.seconds, load_report, now)
+        service = self._fleet.service_state(held.service)
+        if report.is_turned_away and self._fleet.is_sharded(held.service):
+            held.upstream.record_turned_away(service.mean_service_time, now)
         if report.result is state.AttemptResult.RESPONDED:
-            self._fleet.service_state(held.service).record_response(
+            service.record_response(
                 held.upstream.registration.incarnation, report.seconds, now
             )
+        return held.service
--- a/dragonflyshelf/core/slots/client.py
+++ b/dragonflyshelf/core/slots/client.py
@@ -1,7 +1,5 @@
 """Requests of this instance that wait for a slot."""
 
-from collections import abc
-
 from dragonflyshelf.core import ids
 from dragonflyshelf.core.slots import const
 
@@ -18,20 +16,32 @@
     def __init__(self) -> None:
         """Create a client without a broker."""
         self._is_available = False
+        self.serves_holders = False
+        """Whether the broker assigns slots of divided services."""
         self._avoid_until = DISTANT_PAST
-        self._requested_at_by_exchange: dict[ids.ExchangeId, ids.Instant] = {}
+        self._due_at_by_exchange: dict[ids.ExchangeId, ids.Instant] = {}
 
     @property
     def due_at(self) -> ids.Instant:
-        """Return when the oldest request has waited too long."""
-        for requested_at in self._requested_at_by_exchange.values():
-            return ids.Instant(requested_at + const.REQUEST_TIMEOUT_SECONDS)
-        return NEVER
+        """Return when the first request will have waited too long."""
+        return min(self._due_at_by_exchange.values(), default=NEVER)
+
+    def set_available(self, is_available: bool, now: ids.Instant) -> None:
+        """Set whether there is a broker, as it has changed.
 
-    def set_available(self, is_available: bool) -> None:
-        """Set whether there is a broker."""
+        Requests that the former one had queued wait for a short time only.
+        """
         self._is_available = is_available
+        self.serves_holders = False
         self._avoid_until = DISTANT_PAST
+        latest = ids.Instant(now + const.SUCCESSOR_WAIT_SECONDS)
+        for exchange, due_at in self._due_at_by_exchange.items():
+            self._due_at_by_exchange[exchange] = min(due_at, latest)
+
+    @property
+    def waiting(self) -> tuple[ids.ExchangeId, ...]:
+        """Return the requests that wait for a slot."""
+        return tuple(self._due_at_by_exchange)
 
     def may_request(self, now: ids.Instant) -> bool:
         """Return whether the broker should be asked."""
@@ -41,17 +51,34 @@
         self, exchange: ids.ExchangeId, now: ids.Instant
     ) -> None:
         """Record that a slot was requested for a request."""
-        self._requested_at_by_exchange[exchange] = now
+        self._due_at_by_exchange[exchange] = ids.Instant(
+            now + const.REQUEST_TIMEOUT_SECONDS
+        )
+
+    def acknowledge(
+        self, exchange: ids.ExchangeId, latest_start: ids.Instant
+    ) -> None:
+        """Record that a request is queued at the broker."""
+        self._due_at_by_exchange[exchange] = ids.Instant(
+            latest_start + const.REQUEST_TIMEOUT_SECONDS
+        )
+
+    def is_waiting(self, exchange: ids.ExchangeId) -> bool:
+        """Return whether a request waits for a slot."""
+        return exchange in self._due_at_by_exchange
 
     def remove(self, exchange: ids.ExchangeId) -> bool:
         """Remove a request; return whether it was waiting."""
-        requested_at = self._requested_at_by_exchange.pop(exchange, None)
-        return requested_at is not None
-
-    def remove_overdue(self, now: ids.Instant) -> abc.Iterator[ids.ExchangeId]:
-        """Remove and yield the requests that got no slot in time."""
-        while self.due_at <= now:
-            exchange = next(iter(self._requested_at_by_exchange))
-            del self._requested_at_by_exchange[exchange]
+        return self._due_at_by_exchange.pop(exchange, None) is not None
+
+    def remove_overdue(self, now: ids.Instant) -> list[ids.ExchangeId]:
+        """Remove and return the requests that got no slot in time."""
+        overdue = [
+            exchange
+            for exchange, due_at in self._due_at_by_exchange.items()
+            if due_at <= now
+        ]
+        for exchange in overdue:
+            del self._due_at_by_exchange[exchange]
             self._avoid_until = ids.Instant(now + const.AVOIDANCE_SECONDS)
-            yield exchange
+        return overdue
--- a/dragonflyshelf/core/slots/const.py
+++ b/dragonflyshelf/core/slots/const.py
@@ -5,6 +5,12 @@
 REQUEST_TIMEOUT_SECONDS: Final = 0.06
 """Seconds after which an instance places a request itself."""
 
+SUCCESSOR_WAIT_SECONDS: Final = 0.5
+"""Seconds for which queued requests wait for the successor of a broker.
+
+They were queued because their holder had no room.
+"""
+
 AVOIDANCE_SECONDS: Final = 1.0
 """Seconds for which a broker that has not responded is not asked."""
 
--- a/dragonflyshelf/runtime/gateway/router.py
+++ b/dragonflyshelf/runtime/gateway/router.py
@@ -22,6 +22,7 @@
 from dragonflyshelf.core.upstreams import messages as upstream_events
 from dragonflyshelf.core.upstreams import objects as upstreams
 from dragonflyshelf.core.upstreams import service_times
+from dragonflyshelf.runtime.gateway import slot_metrics
 from dragonflyshelf.runtime import inbox
 from dragonflyshelf.runtime import logs
 from dragonflyshelf.runtime import messages as runtime_messages
@@ -126,6 +127,8 @@
     ) -> None:
         if message.error is not None:
             self._log_attempt_failure(message, message.error)
+        if message.is_turned_away:
+            slot_metrics.TURNED_AWAY.inc()
         active_exchange = self._exchanges_by_id.get(message.exchange)
         if active_exchange is not None and message.withheld_response:
             active_exchange.withheld_response = message.withheld_response
@@ -244,6 +247,9 @@
 
     @task.handles(slots.BrokerChanged)
     def _on_broker_changed(self, message: slots.BrokerChanged) -> None:
+        _LOGGER.info(
+            "slots are assigned by a broker: %s", message.is_available
+        )
         self._handle_event(message)
 
     @task.handles(slots.SlotAssignment)
@@ -258,6 +264,16 @@
     def _on_slot_reported(self, message: slots.SlotReported) -> None:
         self._handle_event(message)
 
+    @task.handles(slots.SlotInUseReported)
+    def _on_slot_in_use_reported(
+        self, message: slots.SlotInUseReported
+    ) -> None:
+        self._handle_event(message)
+
+    @task.handles(slots.LinkClosed)
+    def _on_link_closed(self, message: slots.LinkClosed) -> None:
+        self._handle_event(message)
+
     @task.handles(LoadRequest)
     def _on_load_request(self, message: LoadRequest) -> None:
         core = self._core
@@ -391,16 +407,18 @@
         if self.control_inbox is not None:
             self.control_inbox.post(effect)
 
+    @EFFECT_HANDLERS.register(slots.SlotInUse)
     @EFFECT_HANDLERS.register(slots.SlotReport)
     @EFFECT_HANDLERS.register(slots.SlotRequest)
     def _post_to_broker(
-        self, effect: slots.SlotReport | slots.SlotRequest
+        self, effect: slots.SlotInUse | slots.SlotReport | slots.SlotRequest
     ) -> None:
         if self.relay_inbox is not None:
             self.relay_inbox.post(effect)
 
     @EFFECT_HANDLERS.register(slots.AssignSlot)
     def _assign_slot(self, effect: slots.AssignSlot) -> None:
+        slot_metrics.record_response(effect.assignment)
         effect.link.post(effect.assignment)
 
     @EFFECT_HANDLERS.register(scheduling.CancelAttempt)
--- a/dragonflyshelf/runtime/relay/client.py
+++ b/dragonflyshelf/runtime/relay/client.py
@@ -157,8 +157,12 @@
     def _on_slot_report(self, message: slots.SlotReport) -> None:
         self._send_if_connected(message)
 
+    @task.handles(slots.SlotInUse)
+    def _on_slot_in_use(self, message: slots.SlotInUse) -> None:
+        self._send_if_connected(message)
+
     def _send_if_connected(
-        self, message: slots.SlotReport | slots.SlotRequest
+        self, message: slots.SlotInUse | slots.SlotReport | slots.SlotRequest
     ) -> None:
         """Send a message that is of no use later."""
         if self._transport is not None:
--- a/dragonflyshelf/runtime/relay/server.py
+++ b/dragonflyshelf/runtime/relay/server.py
@@ -63,6 +63,7 @@
         request: (
             relay.UpdateRequest
             | relay.TokenRequests
+            | slots.SlotInUse
             | slots.SlotReport
             | slots.SlotRequest
         ),
@@ -90,9 +91,19 @@
             self._post_to_broker(
                 slots.SlotReported(link=self.inbox, report=request)
             )
+        elif isinstance(request, slots.SlotInUse):
+            self._post_to_broker(
+                slots.SlotInUseReported(link=self.inbox, slot=request)
+            )
 
     def _post_to_broker(
-        self, event: slots.SlotReported | slots.SlotRequested
+        self,
+        event: (
+            slots.LinkClosed
+            | slots.SlotInUseReported
+            | slots.SlotReported
+            | slots.SlotRequested
+        ),
     ) -> None:
         """Post an event to the router, or drop it if that is overloaded.
 
@@ -163,6 +174,7 @@
         self._control_inbox.post(
             messages.FollowerDisconnected(reply_to=self.inbox)
         )
+        self._post_to_broker(slots.LinkClosed(link=self.inbox))
 
 
 class RelayServerTask(task.Task):
--- a/tests/codec/test_relay.py
+++ b/tests/codec/test_relay.py
@@ -1,10 +1,13 @@
 """Tests of the frames between instances of different builds."""
 
 import capnp
+import pytest
 
 from dragonflyshelf.codec import frames
 from dragonflyshelf.codec import relay as codec
+from dragonflyshelf.core import ids
 from dragonflyshelf.core.relay import messages
+from dragonflyshelf.core.slots import messages as slots
 
 
 def make_frame(member: str) -> bytes:
@@ -18,6 +21,46 @@
     return frames.LENGTH_PREFIX.pack(len(data)) + data
 
 
+class TestSlotFrames:
+    """Frames about slots of holders."""
+
+    @pytest.mark.parametrize(
+        "message",
+        [
+            slots.SlotRequest(
+                number=7,
+                service=ids.ServiceName("archive"),
+                objective=0.5,
+                remaining=2.0,
+                shard_key=ids.ShardKey(65535),
+                priority=3,
+                workspace=ids.WorkspaceId("one"),
+                patience=1.5,
+                objective_left=0.25,
+            ),
+            slots.SlotAssignment(
+                number=7,
+                incarnation=slots.NO_UPSTREAM,
+                serves_holders=True,
+                is_queued=True,
+                retry_after=0.5,
+            ),
+            slots.SlotInUse(
+                number=7,
+                service=ids.ServiceName("archive"),
+                incarnation=ids.UpstreamIncarnation("u1@1"),
+                remaining=2.0,
+            ),
+        ],
+    )
+    def test_round_trip(self, message: object) -> None:
+        """A message is received as it was sent."""
+        (received,) = frames.FrameDecoder(codec.CODEC).receive(
+            codec.CODEC.encode(message)
+        )
+        assert received == message
+
+
 class TestFrameOfAnOlderBuild:
     """Fields that an older build does not send have safe values."""
 
@@ -47,3 +90,26 @@
         assert not relayed.changes[0].is_delta
         assert received.age == messages.UNKNOWN_AGE
         assert not received.serves_slots
+
+    def test_slot_request(self) -> None:
+        """It asks for a slot of an undivided service."""
+        (request,) = frames.FrameDecoder(codec.CODEC).receive(
+            make_frame("slotRequest")
+        )
+        assert request.shard_key == slots.NO_SHARD_KEY
+
+    def test_slot_assignment(self) -> None:
+        """Its sender does not assign holders, and queues nothing."""
+        (assignment,) = frames.FrameDecoder(codec.CODEC).receive(
+            make_frame("slotAssignment")
+        )
+        assert not assignment.serves_holders
+        assert not assignment.is_queued
+        assert not assignment.retry_after
+
+    def test_slot_report(self) -> None:
+        """It does not say that the request was turned away."""
+        frame = capnp.load(str(codec.SCHEMA_PATH)).Frame.new_message()
+        frame.init("slotReport").result = "answered"
+        report = codec.CODEC.decode(frame.to_bytes())
+        assert not report.is_turned_away
--- a/tests/core/slots/data_centre.py
+++ b/tests/core/slots/data_centre.py
@@ -177,17 +177,20 @@
             self._finish(number, effect.exchange)
         elif isinstance(effect, slots.SlotRequest):
             self._send_to_relay(
-                slots.SlotRequested(link=number, request=effect)
+                number, slots.SlotRequested(link=number, request=effect)
             )
         elif isinstance(effect, slots.SlotReport):
-            self._send_to_relay(slots.SlotReported(link=number, report=effect))
+            self._send_to_relay(
+                number, slots.SlotReported(link=number, report=effect)
+            )
         elif isinstance(effect, slots.AssignSlot):
             self.schedule(
                 HOP_SECONDS,
                 lambda: self.handle(effect.link, effect.assignment),
             )
 
-    def _send_to_relay(self, event: scheduling.Event) -> None:
+    def _send_to_relay(self, number: int, event: scheduling.Event) -> None:
+        """Send an event of an instance to its relay."""
         if not self.relay_is_silent:
             self.schedule(HOP_SECONDS, lambda: self.handle(0, event))
 
