Move the changes of upstreams out of the scheduling coordinator

Change: what a registry of upstreams, a notice, an evacuation or a plan changes is a registry of functions on the fleet; a test of the frames of a follower that ends. No decision changes.

--- a/dragonflyshelf/core/scheduling/coordinator.py
+++ b/dragonflyshelf/core/scheduling/coordinator.py
@@ -14,6 +14,7 @@
 from dragonflyshelf.core.scheduling import dispatcher
 from dragonflyshelf.core.scheduling import exchanges
 from dragonflyshelf.core.scheduling import fleet
+from dragonflyshelf.core.scheduling import fleet_changes
 from dragonflyshelf.core.scheduling import intake
 from dragonflyshelf.core.scheduling import loads
 from dragonflyshelf.core.scheduling import messages
@@ -544,46 +545,18 @@
         self._intake.confirm(event.confirmed_at)
         return []
 
+    @HANDLERS.register(messages.AssignmentsChanged)
+    @HANDLERS.register(upstream_events.EvacuationsChanged)
     @HANDLERS.register(upstream_events.RegistrationsChanged)
-    def _on_registrations_changed(
-        self, event: upstream_events.RegistrationsChanged, now: ids.Instant
-    ) -> Effects:
-        self.fleet.set_registrations(event.registrations, now)
-        return self._requeue_waiting(now)
-
     @HANDLERS.register(upstream_events.UpstreamNotice)
-    def _on_upstream_notice(
-        self, event: upstream_events.UpstreamNotice, now: ids.Instant
+    def _on_fleet_changed(
+        self, event: messages.Event, now: ids.Instant
     ) -> Effects:
-        """Send nothing more to an upstream that leaves or has no room."""
-        notices = self.fleet.notices
-        incarnation = event.incarnation
-        is_new = False
-        if event.backoff_seconds > 0:
-            notices.record_backoff(incarnation, event.backoff_seconds, now)
-            is_new = True
-        if event.is_leaving:
-            is_new = notices.record_leaving(incarnation, now) or is_new
-        if not is_new:
+        change = fleet_changes.CHANGES.get(type(event))
+        effects = change(self.fleet, event, now)
+        if effects is None:
             return []
-        return [
-            messages.ReturnUnsent(incarnation=incarnation),
-            *self._requeue_waiting(now),
-        ]
-
-    @HANDLERS.register(upstream_events.EvacuationsChanged)
-    def _on_evacuations_changed(
-        self, event: upstream_events.EvacuationsChanged, now: ids.Instant
-    ) -> Effects:
-        self.fleet.set_evacuated(event.data_centres, now)
-        return self._requeue_waiting(now)
-
-    @HANDLERS.register(messages.AssignmentsChanged)
-    def _on_assignments_changed(
-        self, event: messages.AssignmentsChanged, now: ids.Instant
-    ) -> Effects:
-        self.fleet.service_state(event.plan.service).plan = event.plan
-        return self._requeue_waiting(now)
+        return [*effects, *self._requeue_waiting(now)]
 
     @HANDLERS.register(messages.InstancesChanged)
     def _on_instances_changed(
--- a/tests/runtime/relay/test_server.py
+++ b/tests/runtime/relay/test_server.py
@@ -143,6 +143,29 @@
 
         asyncio.run(async_check())
 
+    def test_slot_in_use_and_end(self) -> None:
+        """What is under way arrives, and that the connection has ended."""
+        slot = slots.SlotInUse(
+            number=7,
+            service=ids.ServiceName("archive"),
+            incarnation=ids.UpstreamIncarnation("u1@1"),
+            remaining=2.0,
+        )
+
+        async def async_check() -> None:
+            router_inbox = inbox.Inbox("router")
+            follower_task = await self.async_receive_frames(router_inbox, slot)
+            link = follower_task.inbox
+            assert router_inbox.pop() == slots.SlotInUseReported(
+                link=link, slot=slot
+            )
+            follower_task.inbox.post(sockets.EofReceived())
+            assert await async_receive(router_inbox) == slots.LinkClosed(
+                link=link
+            )
+
+        asyncio.run(async_check())
+
     def test_overloaded_router(self) -> None:
         """The connection, on which updates and tokens go, is kept."""
         request = slots.SlotRequest(
