Let the brokers send to holders that warm up

Cause: three of 87 instances may send to a holder in warm-up; nearly all requests for its keys wait at others and are refused, and the holder's warm-up rate is not used. Change: from 17 instances, where each data centre has a relay, the brokers are the senders to cold holders of divided services, each with the rate divided by the number of data centres. Fewer instances keep the three senders, undivided services too. Tests of core/, codec/ pass.

--- a/dragonflyshelf/core/scheduling/coordinator.py
+++ b/dragonflyshelf/core/scheduling/coordinator.py
@@ -54,7 +54,7 @@
         self.dispatcher = dispatcher.RequestDispatcher(self.fleet)
         self._slot_broker = broker.SlotBroker(self.fleet)
         self._holder_broker = holders.HolderBroker(
-            self.dispatcher, self._slot_broker
+            self.fleet, self.dispatcher, self._slot_broker
         )
         self._slot_placement = slot_placement.SlotPlacement(
             self.fleet, self.dispatcher
@@ -155,6 +155,7 @@
         if placement.client.serves_holders or not event.serves_holders:
             return []
         placement.client.serves_holders = True
+        self.fleet.broker_role = fleet.BrokerRole.MEMBER
         effects: Effects = []
         for exchange in self.exchanges_by_id.values():
             effects.extend(placement.report_in_use(exchange, now))
@@ -564,7 +565,7 @@
     ) -> Effects:
         self.token_queue.limiter.set_instance_count(len(event.instances))
         self.retry_budget.set_instance_count(len(event.instances))
-        self.fleet.ramp.set_instances(event.instances)
+        self.fleet.set_instances(event.instances)
         return []
 
     def _requeue_waiting(self, now: ids.Instant) -> Effects:
--- a/dragonflyshelf/core/scheduling/dispatcher.py
+++ b/dragonflyshelf/core/scheduling/dispatcher.py
@@ -30,7 +30,6 @@
         self._fleet = fleet
         self._exchanges_by_id: dict[ids.ExchangeId, exchanges.Exchange] = {}
         self._tickets_by_key: dict[slots.SlotKey, tickets.SlotTicket] = {}
-        self._serves_members = False
 
     @property
     def has_waiting(self) -> bool:
@@ -59,7 +58,8 @@
         latest_start = self.latest_start(exchange, now)
         self._check_backoff(candidates, latest_start, now)
         objective_start = queue.NEVER
-        if holder is not None and self._serves_members:
+        is_broker = self._fleet.broker_role is fleets.BrokerRole.BROKER
+        if holder is not None and is_broker:
             objective = exchange.match.route.latency_objective
             objective_start = ids.Instant(
                 exchange.arrived_at + objective - service.mean_service_time
@@ -90,10 +90,11 @@
             raise errors.NoUpstreamAvailable(
                 f"service {request.service} is not known as divided"
             )
-        self._serves_members = True
+        self._fleet.broker_role = fleets.BrokerRole.BROKER
         service = self._fleet.service_state(request.service)
         holder = self._find_holder(service, request.shard_key)
-        if holder.is_warming_up(now):
+        is_brokered = self._fleet.is_brokered(request.service)
+        if holder.is_warming_up(now) and not is_brokered:
             raise errors.NoUpstreamAvailable(
                 "the senders to a holder that warms up are fixed"
             )
--- a/dragonflyshelf/core/scheduling/fleet.py
+++ b/dragonflyshelf/core/scheduling/fleet.py
@@ -1,11 +1,14 @@
 """Services and upstreams to which this instance can send requests."""
 
 from collections import abc
+import enum
 
 from dragonflyshelf.core import ids
+from dragonflyshelf.core.relay import followers
 from dragonflyshelf.core.routing import objects as routing
 from dragonflyshelf.core.scheduling import service as services
 from dragonflyshelf.core import settings
+from dragonflyshelf.core.upstreams import broker_ramp
 from dragonflyshelf.core.upstreams import choice
 from dragonflyshelf.core.upstreams import notices
 from dragonflyshelf.core.upstreams import objects
@@ -13,6 +16,17 @@
 from dragonflyshelf.core.upstreams import state
 
 
+class BrokerRole(enum.Enum):
+    """Part that this instance has in the assignment of holders' slots.
+
+    A ``MEMBER`` has or had a broker, a ``BROKER`` has served a member.
+    """
+
+    NONE = "none"
+    MEMBER = "member"
+    BROKER = "broker"
+
+
 class Fleet:
     """State of all services and upstreams, and their eligibility."""
 
@@ -20,6 +34,10 @@
         """Create a fleet without upstreams."""
         self._data_centre = instance.data_centre
         self.ramp = ramp.WarmupRamp(instance.name)
+        self._broker_ramp = broker_ramp.BrokerRamp()
+        self._data_centre_count = 1
+        self._instance_count = 0
+        self.broker_role = BrokerRole.NONE
         self.notices = notices.UpstreamNotices()
         self._states_by_service: dict[
             ids.ServiceName, services.ServiceState
@@ -65,6 +83,13 @@
         }
         for service in self._states_by_service.values():
             service.upstreams_by_incarnation = {}
+        registrations = tuple(registrations)
+        self._data_centre_count = len(
+            {registration.data_centre for registration in registrations}
+        )
+        self._broker_ramp.remove_others(
+            frozenset(item.incarnation for item in registrations)
+        )
         for registration in registrations:
             incarnation = registration.incarnation
             upstream_state = states_by_incarnation.get(incarnation)
@@ -133,11 +158,37 @@
             return False
         if not upstream.is_warming_up(now):
             return True
+        registration = upstream.registration
         rate = self._warmup_rate(upstream)
-        return self.ramp.has_token(
-            upstream.registration.incarnation, rate, now
+        if not self.is_brokered(registration.service):
+            return self.ramp.has_token(registration.incarnation, rate, now)
+        if self.broker_role is BrokerRole.MEMBER:
+            return False
+        return self._broker_ramp.has_token(
+            registration.incarnation, self._broker_rate(rate), now
         )
 
+    def is_brokered(self, name: ids.ServiceName) -> bool:
+        """Return whether brokers are the senders to cold holders.
+
+        That needs a broker in every data centre.
+        """
+        if self.broker_role is BrokerRole.NONE or not self.is_sharded(name):
+            return False
+        return self._instance_count > followers.MAX_DIRECT_INSTANCE_COUNT
+
+    def set_instances(self, instances: tuple[ids.InstanceId, ...]) -> None:
+        """Set the names of all instances."""
+        self._instance_count = len(instances)
+        self.ramp.set_instances(instances)
+
+    def _broker_rate(self, rate: float) -> float:
+        """Return this broker's part of a warm-up rate.
+
+        There is a broker in each data centre at most.
+        """
+        return rate / max(self._data_centre_count, 1)
+
     def backoff_until(self, upstream: state.UpstreamState) -> ids.Instant:
         """Return until when an upstream wants no requests."""
         return self.notices.backoff_until(upstream.registration.incarnation)
@@ -146,9 +197,16 @@
         self, upstream: state.UpstreamState, now: ids.Instant
     ) -> None:
         """Count an attempt towards the warm-up rate of an upstream."""
-        if upstream.is_warming_up(now):
-            rate = self._warmup_rate(upstream)
-            self.ramp.take(upstream.registration.incarnation, rate, now)
+        if not upstream.is_warming_up(now):
+            return
+        registration = upstream.registration
+        rate = self._warmup_rate(upstream)
+        if not self.is_brokered(registration.service):
+            self.ramp.take(registration.incarnation, rate, now)
+        elif self.broker_role is BrokerRole.BROKER:
+            self._broker_ramp.take(
+                registration.incarnation, self._broker_rate(rate), now
+            )
 
     def usable_upstreams(
         self, name: ids.ServiceName
--- a/dragonflyshelf/core/scheduling/slot_placement.py
+++ b/dragonflyshelf/core/scheduling/slot_placement.py
@@ -30,7 +30,8 @@
         """Return whether the upstream of a request is to be assigned.
 
         For a divided service that is the holder of the key, if the broker
-        assigns its slots. The senders to one that warms up are fixed.
+        assigns its slots. Where it does not serve cold holders, the senders
+        to these are fixed.
         """
         if not self.client.may_request(now):
             return False
@@ -42,7 +43,8 @@
         holder = self._fleet.service_state(exchange.service).holder(key)
         if holder is None or not self._fleet.is_usable(holder):
             return False
-        return not holder.is_warming_up(now)
+        is_brokered = self._fleet.is_brokered(exchange.service)
+        return is_brokered or not holder.is_warming_up(now)
 
     def request(
         self, exchange: exchanges.Exchange, now: ids.Instant
@@ -103,7 +105,8 @@
             upstream = self._fleet.find_willing(
                 exchange.service, event.incarnation, now
             )
-            if upstream is not None and upstream.is_warming_up(now):
+            is_brokered = self._fleet.is_brokered(exchange.service)
+            if upstream and upstream.is_warming_up(now) and not is_brokered:
                 upstream = None
         else:
             upstream = self._fleet.find_acceptable(
--- a/dragonflyshelf/core/slots/broker.py
+++ b/dragonflyshelf/core/slots/broker.py
@@ -75,6 +75,7 @@
         ``remaining`` is the time to the request's deadline in seconds.
         """
         upstream.start()
+        self._fleet.record_attempt(upstream, now)
         self._held_by_key[key] = HeldSlot(service=service, upstream=upstream)
         self._term_number += 1
         term = tickets.bounded_seconds(remaining)
--- a/dragonflyshelf/core/slots/holders.py
+++ b/dragonflyshelf/core/slots/holders.py
@@ -10,6 +10,7 @@
 from dragonflyshelf.core import errors
 from dragonflyshelf.core import ids
 from dragonflyshelf.core.scheduling import dispatcher as dispatchers
+from dragonflyshelf.core.scheduling import fleet as fleets
 from dragonflyshelf.core.scheduling import retries
 from dragonflyshelf.core.slots import broker
 from dragonflyshelf.core.slots import messages
@@ -22,10 +23,12 @@
 
     def __init__(
         self,
+        fleet: fleets.Fleet,
         dispatcher: dispatchers.RequestDispatcher,
         slot_broker: broker.SlotBroker,
     ) -> None:
         """Create a broker; the requests wait in the dispatcher."""
+        self._fleet = fleet
         self._dispatcher = dispatcher
         self._slot_broker = slot_broker
 
@@ -63,9 +66,10 @@
         now: ids.Instant,
     ) -> messages.AssignSlot:
         """Return the response to a request whose turn has come."""
-        if holder.is_warming_up(now):
-            return _respond(ticket.key)
         request = ticket.request
+        is_brokered = self._fleet.is_brokered(request.service)
+        if holder.is_warming_up(now) and not is_brokered:
+            return _respond(ticket.key)
         self._slot_broker.hold(
             ticket.key, request.service, holder, request.remaining, now
         )
--- a/tests/core/slots/holder_centres.py
+++ b/tests/core/slots/holder_centres.py
@@ -25,6 +25,8 @@
 WAITING_COUNT = 24
 """Requests that a holder queues; it resets what comes on top."""
 
+WARMUP_SECONDS = 5.0
+
 KEYS_BY_HOLDER = 65536 // HOLDER_COUNT
 HOT_KEY = 5
 
@@ -49,6 +51,9 @@
         self.relay_by_centre = list(range(DATA_CENTRE_COUNT))
         self.silent_relays: set[int] = set()
         self.arrival_count = 0
+        self.arrived_at_by_holder: collections.defaultdict[
+            ids.UpstreamId, list[float]
+        ] = collections.defaultdict(list)
         self.turned_away_count = 0
         self.failed_count = 0
         self.run_counts: collections.Counter[ids.ExchangeId] = (
@@ -94,15 +99,7 @@
             ),
             now,
         )
-        for holder in self.upstreams:
-            holder.registration = world.upstream(
-                holder.registration.id, "archive", slots=SLOT_COUNT
-            )
-        registrations = tuple(holder.registration for holder in self.upstreams)
-        core.handle(
-            upstream_events.RegistrationsChanged(registrations=registrations),
-            now,
-        )
+        core.handle(self._register(cold_count=0), now)
         core.handle(
             scheduling.InstancesChanged(
                 instances=tuple(ids.InstanceId(f"i{n}") for n in range(87))
@@ -112,6 +109,30 @@
         core.handle(scheduling.AssignmentsChanged(plan=self._plan()), now)
         return core
 
+    def _register(
+        self, cold_count: int
+    ) -> upstream_events.RegistrationsChanged:
+        """Return the event that the first holders are cold."""
+        for number, holder in enumerate(self.upstreams):
+            holder.registration = world.upstream(
+                holder.registration.id,
+                "archive",
+                slots=SLOT_COUNT,
+                data_centre=ids.DataCentreId(f"d{number % DATA_CENTRE_COUNT}"),
+                warmup_left_seconds=WARMUP_SECONDS * (number < cold_count),
+            )
+        return upstream_events.RegistrationsChanged(
+            registrations=tuple(
+                holder.registration for holder in self.upstreams
+            )
+        )
+
+    def turn_cold(self, cold_count: int) -> None:
+        """Let the first holders be cold from now on."""
+        event = self._register(cold_count)
+        for number in range(len(self.cores)):
+            self.handle(number, event)
+
     def _plan(self) -> grantor.ShardPlan:
         return grantor.ShardPlan(
             service=world.ARCHIVE,
@@ -181,6 +202,7 @@
         key: tuple[int, ids.ExchangeId],
     ) -> None:
         self.arrival_count += 1
+        self.arrived_at_by_holder[upstream.registration.id].append(self.now)
         if len(upstream.waiting) < WAITING_COUNT:
             self.run_counts[key[1]] += 1
             super()._arrive(upstream, key)
--- a/tests/core/slots/test_holders.py
+++ b/tests/core/slots/test_holders.py
@@ -212,7 +212,10 @@
         "values", [{"is_draining": True}, {"warmup_left_seconds": 3.0}]
     )
     def test_unsuitable_holder(self, values: dict[str, object]) -> None:
-        """Holders that leave or warm up are not assigned."""
+        """Holders that leave are not assigned, nor those that warm up.
+
+        The senders to the latter are fixed among few instances.
+        """
         response = BrokerHarness(**values).ask(1)
         assert response.incarnation == messages.NO_UPSTREAM
         assert not response.is_queued
@@ -484,6 +487,32 @@
         model.run(8.0, 70.0)
         self.check(model)
 
+    @pytest.mark.parametrize("seed", range(3))
+    def test_cold_return(self, seed: int) -> None:
+        """A third of the holders turn cold: they get what they tolerate.
+
+        That is their rate and half of it, and 5 requests, in any second.
+        """
+        rate = worlds.service("archive").warmup_rate
+        seconds = holder_centres.WARMUP_SECONDS
+        model = holder_centres.HolderCentres(seed, unsafe_share=0.2)
+        model.schedule(2.0, lambda: model.turn_cold(4))
+        cold_from = model.now + 2.0
+        model.run(8.0, 100.0)
+        self.check(model)
+        for holder in model.upstreams[:4]:
+            arrivals = [
+                at - cold_from
+                for at in model.arrived_at_by_holder[holder.registration.id]
+                if 0.1 < at - cold_from < seconds
+            ]
+            assert len(arrivals) >= 0.7 * rate * seconds
+            assert all(
+                sum(first <= at < first + 1.0 for at in arrivals)
+                <= 1.5 * rate + 5
+                for first in arrivals
+            )
+
     @pytest.mark.parametrize("seed", range(3))
     def test_all_power_back(self, seed: int) -> None:
         """All brokers change at full load: none counts what is under way.
