Read a second reset of a holder as full, whatever it has reported

Cause: a report that came before the load hid that a holder was full: each reset was read as a lost response, and the request sent again at once. Change: only the first request that is turned away since the last response may be a lost response; a broker reads a refused connection as it reads a reset. Result: test_outdated_report fails before (6 attempts against 4). Tests of core/slots, core/scheduling, core/upstreams pass.

--- a/dragonflyshelf/core/slots/broker.py
+++ b/dragonflyshelf/core/slots/broker.py
@@ -125,7 +125,9 @@
             result = state.AttemptResult.FAILED
         held.upstream.finish(result, report.seconds, load_report, now)
         service = self._fleet.service_state(held.service)
-        if report.is_turned_away and self._fleet.is_sharded(held.service):
+        is_refused = report.result is state.AttemptResult.UNREACHABLE
+        is_turned_away = report.is_turned_away or is_refused
+        if is_turned_away and self._fleet.is_sharded(held.service):
             held.upstream.record_turned_away(service.mean_service_time, now)
         if report.result is state.AttemptResult.RESPONDED:
             service.record_response(
--- a/dragonflyshelf/core/upstreams/state.py
+++ b/dragonflyshelf/core/upstreams/state.py
@@ -42,6 +42,7 @@
         self._report: objects.LoadReport | None = None
         self._reported_at = ids.Instant(0.0)
         self._in_flight_at_report = 0
+        self._turned_away_count = 0
         self._concurrency_limit = concurrency.ConcurrencyLimit(
             registration.slots + const.MAX_EXCESS_REQUEST_COUNT
         )
@@ -67,6 +68,7 @@
             self._update_service_time(seconds)
             self._record_outcome(0.0, now)
             self._concurrency_limit.record_response()
+            self._turned_away_count = 0
         elif result is AttemptResult.FAILED:
             self._record_outcome(1.0, now)
         elif result is AttemptResult.UNREACHABLE:
@@ -80,17 +82,24 @@
     def record_turned_away(
         self, default_service_time: float, now: ids.Instant
     ) -> None:
-        """Record that the upstream reset a request without a response.
+        """Record that the upstream took no request, or reset one.
 
-        If it has lately reported a free slot, the response was lost.
+        If it has lately reported a free slot, a response was lost, unless
+        another request is turned away before the next response.
         """
-        age = now - self._reported_at
-        is_recent = age < const.LOAD_REPORT_TTL_SECONDS
-        if self._report is not None and is_recent and self.has_free_slot(now):
+        self._turned_away_count += 1
+        if self._turned_away_count == 1 and self._has_reported_room(now):
             return
         service_time = self.service_time or default_service_time
         self._concurrency_limit.record_full(self.in_flight, service_time, now)
 
+    def _has_reported_room(self, now: ids.Instant) -> bool:
+        age = now - self._reported_at
+        is_recent = age < const.LOAD_REPORT_TTL_SECONDS
+        return (
+            self._report is not None and is_recent and self.has_free_slot(now)
+        )
+
     def load(self, now: ids.Instant) -> float:
         """Return the estimated requests of all instances at the upstream."""
         other_load = 0.0
--- a/tests/core/upstreams/test_concurrency.py
+++ b/tests/core/upstreams/test_concurrency.py
@@ -107,6 +107,17 @@
         self.reset(harness, exchange)
         assert harness.sent_to(exchange) == ["u1", "u1"]
 
+    def test_outdated_report(self) -> None:
+        """A report from before the load came does not hide a full holder."""
+        harness = self.make_harness()
+        report = objects.LoadReport(running=1, waiting=0, slots=6)
+        harness.finish(self.request(harness), report=report)
+        burst = [self.request(harness) for _ in range(3)]
+        for exchange in burst:
+            if harness.sent_to(exchange):
+                self.reset(harness, exchange)
+        assert sum(len(harness.sent_to(exchange)) for exchange in burst) == 4
+
     def test_undivided_service(self) -> None:
         """Upstreams of undivided services are chosen as before."""
         harness = worlds.make_harness(worlds.upstream("u1"))
