Refuse at once what would miss its objective in a holder's queue

Cause: requests that were admitted and became late in the queue came after all that arrived later; under lasting overload they were held until their latest start and refused then. All who were refused returned together. Change: a request gets a place if it waits for at most half of its time to start within the objective; the throughput of a holder is no less than what is under way by its service time, and its rate in a warm-up. Each refusal tells the next free place, so that callers return one after the other. Tests of core/slots, core/scheduling, core/upstreams pass.

--- a/dragonflyshelf/core/scheduling/const.py
+++ b/dragonflyshelf/core/scheduling/const.py
@@ -29,6 +29,12 @@
 MAX_QUEUE_TIME_RATIO: Final = 0.5
 """Fraction of the time to its deadline that a request may be queued."""
 
+MAX_OBJECTIVE_WAIT_RATIO: Final = 0.5
+"""Fraction of the time to its latest start in time that a request may wait.
+
+Service times differ, and what becomes late in a queue comes last there.
+"""
+
 MAX_RETRY_AFTER_SECONDS: Final = 2.0
 """Upper bound of ``Retry-After`` in refusals."""
 
--- a/dragonflyshelf/core/scheduling/dispatcher.py
+++ b/dragonflyshelf/core/scheduling/dispatcher.py
@@ -120,13 +120,13 @@
         now: ids.Instant,
     ) -> queue.FairQueue:
         """Add an entry to the queue of a holder, or of the service."""
-        incarnation: ids.UpstreamIncarnation | None = None
         target_queue = service.queue
         if holder is not None:
-            incarnation = holder.registration.incarnation
-            target_queue = service.holder_queue(incarnation)
+            target_queue = service.holder_queue(
+                holder.registration.incarnation
+            )
         if len(target_queue):
-            self._check_wait(service, incarnation, target_queue, entry, now)
+            self._check_wait(service, holder, target_queue, entry, now)
         target_queue.push(entry)
         return target_queue
 
@@ -185,25 +185,56 @@
     def _check_wait(
         self,
         service: services.ServiceState,
-        incarnation: ids.UpstreamIncarnation | None,
+        holder: state.UpstreamState | None,
         target_queue: queue.FairQueue,
         entry: queue.Entry,
         now: ids.Instant,
     ) -> None:
-        """Raise ``Overloaded`` for a full queue or too long a wait."""
+        """Raise ``Overloaded`` for a full queue or too long a wait.
+
+        A holder that warms up sends so little that all may wait for it.
+        """
         ahead_count = target_queue.count_ahead(entry, now)
-        estimated_wait = ahead_count / service.throughput(incarnation, now)
-        if (
-            now + estimated_wait <= entry.latest_start
-            and len(target_queue) < const.MAX_QUEUED_REQUEST_COUNT
-        ):
+        throughput = self._throughput(service, holder, now)
+        estimated_wait = ahead_count / throughput
+        is_short = len(target_queue) < const.MAX_QUEUED_REQUEST_COUNT
+        max_wait = _max_wait(entry, now)
+        if holder is not None and holder.is_warming_up(now):
+            max_wait = entry.latest_start - now
+        if is_short and estimated_wait <= max_wait:
             return
+        retry_after = estimated_wait
+        if entry.objective_start != queue.NEVER:
+            retry_after = target_queue.return_places.next_delay(
+                estimated_wait, throughput, now
+            )
         raise errors.Overloaded(
             f"{ahead_count} requests are queued ahead,"
             f" estimated wait {estimated_wait:.2f} s",
-            retry_after=retries.bounded_retry_after(estimated_wait),
+            retry_after=retries.bounded_retry_after(retry_after),
         )
 
+    def _throughput(
+        self,
+        service: services.ServiceState,
+        holder: state.UpstreamState | None,
+        now: ids.Instant,
+    ) -> float:
+        """Return the requests per second that a queue is expected to send.
+
+        For a holder that was idle until now that is, by Little's law, what
+        is under way divided by the time that it takes there; for one that
+        warms up, what it may get.
+        """
+        if holder is None:
+            return service.throughput(None, now)
+        limit = self._fleet.warmup_limit(holder, now)
+        if limit < float("inf"):
+            return limit
+        measured = service.throughput(holder.registration.incarnation, now)
+        service_time = holder.service_time or service.mean_service_time
+        return max(measured, holder.in_flight / service_time)
+
     def remove(self, exchange: exchanges.Exchange) -> None:
         """Remove a cancelled request from its queue."""
         if exchange.current_queue is not None:
@@ -310,3 +341,16 @@
             ).all_queues():
                 target_queue.remove_all()
         return waiting
+
+
+def _max_wait(entry: queue.Entry, now: ids.Instant) -> float:
+    """Return for how many seconds a request may be expected to wait.
+
+    One that would miss its objective in the queue has no place there, as
+    those that come later and still meet theirs would go first.
+    """
+    max_wait = entry.latest_start - now
+    objective_wait = entry.objective_start - now
+    if objective_wait < 0:
+        return max_wait
+    return min(max_wait, objective_wait * const.MAX_OBJECTIVE_WAIT_RATIO)
--- a/dragonflyshelf/core/scheduling/fleet.py
+++ b/dragonflyshelf/core/scheduling/fleet.py
@@ -182,6 +182,18 @@
         self._instance_count = len(instances)
         self.ramp.set_instances(instances)
 
+    def warmup_limit(
+        self, upstream: state.UpstreamState, now: ids.Instant
+    ) -> float:
+        """Return the requests per second that a broker may send.
+
+        Infinite for an upstream that is not a holder in its warm-up.
+        """
+        is_brokered = self.is_brokered(upstream.registration.service)
+        if not is_brokered or not upstream.is_warming_up(now):
+            return float("inf")
+        return self._broker_rate(self._warmup_rate(upstream))
+
     def _broker_rate(self, rate: float) -> float:
         """Return this broker's part of a warm-up rate.
 
--- a/dragonflyshelf/core/scheduling/queue.py
+++ b/dragonflyshelf/core/scheduling/queue.py
@@ -13,6 +13,7 @@
 
 from dragonflyshelf.core import ids
 from dragonflyshelf.core.scheduling import const
+from dragonflyshelf.core.scheduling import return_places
 from dragonflyshelf.core.slots import messages as slots
 
 NEVER: Final = ids.Instant(float("inf"))
@@ -46,6 +47,7 @@
         self._late_heap: list[tuple[int, float, int, EntryKey]] = []
         self._push_count = 0
         self._finish_tag_by_workspace: dict[ids.WorkspaceId | None, float] = {}
+        self.return_places = return_places.ReturnPlaces()
         self._virtual_time = 0.0
         self._pop_count = 0
 
--- a/tests/core/slots/holder_centres.py
+++ b/tests/core/slots/holder_centres.py
@@ -56,6 +56,7 @@
         ] = collections.defaultdict(list)
         self.turned_away_count = 0
         self.failed_count = 0
+        self.refused_after_seconds: list[float] = []
         self.run_counts: collections.Counter[ids.ExchangeId] = (
             collections.Counter()
         )
@@ -187,6 +188,8 @@
         if isinstance(effect, scheduling.Refuse):
             is_failure = isinstance(effect.error, errors.UpstreamFailed)
             self.failed_count += is_failure
+            arrived_at = self.arrived_at_by_id[(number, effect.exchange)]
+            self.refused_after_seconds.append(self.now - arrived_at)
         super()._execute(number, effect)
 
     def _send_to_relay(self, number: int, event: scheduling.Event) -> None:
