Let what waited for a moved range ask the broker for its holder

Change: requests for a divided service that are queued again, as a plan or the registry has changed, ask the broker. Those for undivided services are queued as before. Tests of core/slots, core/scheduling, core/upstreams pass.

--- a/dragonflyshelf/core/scheduling/coordinator.py
+++ b/dragonflyshelf/core/scheduling/coordinator.py
@@ -579,9 +579,20 @@
                 service = waiting.request.service
                 effects.extend(self._dispatch_queued(service, now))
             else:
-                effects.extend(self._enqueue(waiting, now))
+                effects.extend(self._requeue(waiting, now))
         for exchange_id in delayed_ids:
             exchange = self.exchanges_by_id.get(exchange_id)
             if exchange is not None and exchange.phase is Phase.RETRY_DELAY:
-                effects.extend(self._enqueue(exchange, now))
+                effects.extend(self._requeue(exchange, now))
         return effects
+
+    def _requeue(
+        self, exchange: exchanges.Exchange, now: ids.Instant
+    ) -> Effects:
+        """Queue a request again; for a holder at the broker, if any.
+
+        When a range has moved, all that waited for it come at once.
+        """
+        if self.fleet.is_sharded(exchange.service):
+            return self._place(exchange, now)
+        return self._enqueue(exchange, now)
--- a/tests/core/slots/holder_centres.py
+++ b/tests/core/slots/holder_centres.py
@@ -101,6 +101,7 @@
             now,
         )
         core.handle(self._register(cold_count=0), now)
+        self.upstreams_by_range = list(self.upstreams)
         core.handle(
             scheduling.InstancesChanged(
                 instances=tuple(ids.InstanceId(f"i{n}") for n in range(87))
@@ -134,7 +135,16 @@
         for number in range(len(self.cores)):
             self.handle(number, event)
 
-    def _plan(self) -> grantor.ShardPlan:
+    def move_first_range(self, is_settled: bool) -> None:
+        """Let the holder of the last range get the first one as well."""
+        self.upstreams_by_range[0] = self.upstreams[-1]
+        for number in range(len(self.cores)):
+            self.handle(
+                number,
+                scheduling.AssignmentsChanged(plan=self._plan(is_settled)),
+            )
+
+    def _plan(self, is_first_settled: bool = True) -> grantor.ShardPlan:
         return grantor.ShardPlan(
             service=world.ARCHIVE,
             assignments=tuple(
@@ -144,9 +154,9 @@
                     upstream=holder.registration.id,
                     life=holder.registration.incarnation,
                     epoch=ids.Epoch(2),
-                    is_settled=True,
+                    is_settled=number > 0 or is_first_settled,
                 )
-                for number, holder in enumerate(self.upstreams)
+                for number, holder in enumerate(self.upstreams_by_range)
             ),
         )
 
--- a/tests/core/slots/test_holders.py
+++ b/tests/core/slots/test_holders.py
@@ -521,6 +521,20 @@
         model.run(8.0, 70.0)
         self.check(model)
 
+    @pytest.mark.parametrize("seed", range(3))
+    def test_hot_range_moves(self, seed: int) -> None:
+        """The range of a hot key has no holder for 0.8 s.
+
+        All that waits for it comes at once then.
+        """
+        model = holder_centres.HolderCentres(
+            seed, hot_share=0.6, unsafe_share=0.2
+        )
+        model.schedule(2.0, lambda: model.move_first_range(False))
+        model.schedule(2.8, lambda: model.move_first_range(True))
+        model.run(5.0, 100.0)
+        self.check(model)
+
     @pytest.mark.parametrize("seed", range(3))
     def test_cold_return(self, seed: int) -> None:
         """A third of the holders turn cold: they get what they tolerate.
