Keep the members of a silent broker within the room of a holder

Cause: for the second in which a broker is avoided each of its members sent up to seven requests to a holder by itself; a refusal that the broker sent late made its members avoid it. Change: a member that places a request itself has at most its part of the holder's slots under way there, one at least. A request that was queued waits 0.25 s past its latest start, and its broker is not avoided then. Tests of core/slots, core/scheduling, core/upstreams pass.

--- a/dragonflyshelf/core/scheduling/fleet.py
+++ b/dragonflyshelf/core/scheduling/fleet.py
@@ -156,6 +156,8 @@
             return False
         if not upstream.has_capacity(now):
             return False
+        if not self._has_unassigned_room(upstream):
+            return False
         if not upstream.is_warming_up(now):
             return True
         registration = upstream.registration
@@ -168,6 +170,21 @@
             registration.incarnation, self._broker_rate(rate), now
         )
 
+    def _has_unassigned_room(self, upstream: state.UpstreamState) -> bool:
+        """Return whether a member may send without its broker.
+
+        The members of a lost broker send to a holder at the same time; in
+        sum that is about what the broker would have sent.
+        """
+        registration = upstream.registration
+        if self.broker_role is not BrokerRole.MEMBER:
+            return True
+        if not self.is_sharded(registration.service):
+            return True
+        member_count = self._instance_count / max(self._data_centre_count, 1)
+        room = registration.slots / max(member_count, 1.0)
+        return upstream.in_flight < max(room, 1.0)
+
     def is_brokered(self, name: ids.ServiceName) -> bool:
         """Return whether brokers are the senders to cold holders.
 
--- a/dragonflyshelf/core/slots/client.py
+++ b/dragonflyshelf/core/slots/client.py
@@ -20,6 +20,7 @@
         """Whether the broker assigns slots of divided services."""
         self._avoid_until = DISTANT_PAST
         self._due_at_by_exchange: dict[ids.ExchangeId, ids.Instant] = {}
+        self._queued: set[ids.ExchangeId] = set()
 
     @property
     def due_at(self) -> ids.Instant:
@@ -51,6 +52,7 @@
         self, exchange: ids.ExchangeId, now: ids.Instant
     ) -> None:
         """Record that a slot was requested for a request."""
+        self._queued.discard(exchange)
         self._due_at_by_exchange[exchange] = ids.Instant(
             now + const.REQUEST_TIMEOUT_SECONDS
         )
@@ -60,8 +62,9 @@
     ) -> None:
         """Record that a request is queued at the broker."""
         self._due_at_by_exchange[exchange] = ids.Instant(
-            latest_start + const.REQUEST_TIMEOUT_SECONDS
+            latest_start + const.EXPIRY_MARGIN_SECONDS
         )
+        self._queued.add(exchange)
 
     def is_waiting(self, exchange: ids.ExchangeId) -> bool:
         """Return whether a request waits for a slot."""
@@ -69,16 +72,21 @@
 
     def remove(self, exchange: ids.ExchangeId) -> bool:
         """Remove a request; return whether it was waiting."""
+        self._queued.discard(exchange)
         return self._due_at_by_exchange.pop(exchange, None) is not None
 
     def remove_overdue(self, now: ids.Instant) -> list[ids.ExchangeId]:
-        """Remove and return the requests that got no slot in time."""
+        """Remove and return the requests that got no slot in time.
+
+        A broker that has not even queued one of them is avoided for a while.
+        """
         overdue = [
             exchange
             for exchange, due_at in self._due_at_by_exchange.items()
             if due_at <= now
         ]
-        for exchange in overdue:
-            del self._due_at_by_exchange[exchange]
+        if not self._queued.issuperset(overdue):
             self._avoid_until = ids.Instant(now + const.AVOIDANCE_SECONDS)
+        for exchange in overdue:
+            self.remove(exchange)
         return overdue
--- a/dragonflyshelf/core/slots/const.py
+++ b/dragonflyshelf/core/slots/const.py
@@ -5,6 +5,12 @@
 REQUEST_TIMEOUT_SECONDS: Final = 0.06
 """Seconds after which an instance places a request itself."""
 
+EXPIRY_MARGIN_SECONDS: Final = 0.25
+"""Seconds after its latest start for which a queued request still waits.
+
+By then its broker would have refused it.
+"""
+
 SUCCESSOR_WAIT_SECONDS: Final = 0.5
 """Seconds for which queued requests wait for the successor of a broker.
 
