--- a/dragonflyshelf/core/errors.py
+++ b/dragonflyshelf/core/errors.py
@@ -154,6 +154,11 @@
     """The upstream does not hold the shard key or is not the expected one."""
 
 
+@error_code("DS119", 502, states.Step.RECEIVE)
+class RefusalUnconfirmed(RouterError):
+    """The upstream refused, but did not say that it executed nothing."""
+
+
 @error_code("DS120", 431, states.Step.PARSE)
 class HeadTooLarge(RouterError):
     """The request head exceeds its size or header limit."""
@@ -198,6 +203,20 @@
 class InvalidObject(RouterError):
     """An object in the store cannot be decoded."""
 
+    def __init__(
+        self,
+        message: str,
+        *,
+        version: str = "",
+        place: str = "",
+        value: str = "",
+    ) -> None:
+        """Create an error about a field; what is empty is not known."""
+        super().__init__(message)
+        self.version = version
+        self.place = place
+        self.value = value
+
 
 @error_code("DS310", 500, states.Step.SETTINGS)
 class BindFailed(RouterError):
--- a/dragonflyshelf/core/quota/limiter.py
+++ b/dragonflyshelf/core/quota/limiter.py
@@ -31,12 +31,14 @@
 class TokenCache:
     """Allocated tokens of one workspace, and the demand for them.
 
-    ``requested_at`` is the time of the token request under way.
+    ``requested_at`` is the time of the token request under way, and
+    ``covered_count`` the number of pending requests that it covers.
     """
 
     tokens: int = 0
     allocated_at: ids.Instant = ids.Instant(0.0)
     requested_at: ids.Instant | None = None
+    covered_count: int = 0
     fallback_used_count: int = 0
     exhausted_until: ids.Instant = ids.Instant(0.0)
     demand_estimate: demand.DemandEstimate = dataclasses.field(
@@ -71,6 +73,10 @@
             if name not in self._workspaces_by_name:
                 del self._caches_by_workspace[name]
 
+    def knows(self, workspace: ids.WorkspaceId) -> bool:
+        """Return whether the configuration has a workspace."""
+        return workspace in self._workspaces_by_name
+
     def set_instance_count(self, count: int) -> None:
         """Set the number of instances that divide the fallback share."""
         self._fallback_share.set_instances(1, count)
@@ -92,9 +98,25 @@
         cache = self._cache(workspace)
         return self._take(workspace, cache, now) is AdmissionResult.ADMITTED
 
+    def may_wait(
+        self, workspace: ids.WorkspaceId, position: int, now: ids.Instant
+    ) -> bool:
+        """Return whether a pending request without a token may wait on.
+
+        It may if the last token request did not cover its position among
+        the pending ones, counted from 0, unless the leader has said that no
+        tokens are left or does not respond.
+        """
+        cache = self._cache(workspace)
+        if self._leader_is_unresponsive or now < cache.exhausted_until:
+            return False
+        return position >= cache.covered_count
+
     def _take(
         self, workspace: ids.WorkspaceId, cache: TokenCache, now: ids.Instant
     ) -> AdmissionResult:
+        if self._workspaces_by_name[workspace].rate <= 0:
+            return AdmissionResult.ADMITTED
         cache.expire(now)
         if cache.tokens > 0:
             cache.tokens -= 1
@@ -139,6 +161,7 @@
             pending_count + prefetch_count, const.MAX_REQUESTED_TOKEN_COUNT
         )
         cache.requested_at = now
+        cache.covered_count = min(pending_count, tokens)
         return messages.TokenRequest(workspace=workspace, tokens=tokens)
 
     def add_allocation(
--- a/dragonflyshelf/platform/objects.py
+++ b/dragonflyshelf/platform/objects.py
@@ -3,17 +3,24 @@
 The fields of records are encoded by name in the platform's format.
 """
 
+from collections import abc
+import dataclasses
 import ipaddress
-from typing import Annotated, Any
+from typing import Annotated, Any, TypeVar
 
 import msgspec
 
 from dragonflyshelf.codec import http
+from dragonflyshelf.core.configuration import validity
 from dragonflyshelf.core import errors
 from dragonflyshelf.core import ids
 from dragonflyshelf.core.routing import objects as routing
+from dragonflyshelf.core import states
 from dragonflyshelf.core.store import messages as store
 from dragonflyshelf.core.upstreams import objects as upstreams
+from dragonflyshelf.platform import violations
+
+R = TypeVar("R")
 
 STATE_READY = "ready"
 STATE_DRAINING = "draining"
@@ -58,6 +65,20 @@
             for row in self.rows
         ]
 
+    def check_shape(self, name: str) -> None:
+        """Raise ``FieldViolation`` if a value has not exactly one column."""
+        if len(set(self.columns)) < len(self.columns):
+            raise violations.FieldViolation(
+                "a column is given twice", f"{name}.Columns", ""
+            )
+        for number, row in enumerate(self.rows):
+            if len(row) != len(self.columns):
+                raise violations.FieldViolation(
+                    f"has {len(row)} values for {len(self.columns)} columns",
+                    f"{name}.Rows[{number}]",
+                    "",
+                )
+
 
 class WeightedServiceRecord(msgspec.Struct, rename="pascal"):
     """Service and weight of one target of a traffic split."""
@@ -72,14 +93,14 @@
     name: str
     host: str
     path_prefix: str
-    kind: str
+    kind: routing.RequestKind
     timeout_s: float
     max_attempts: int
     slo_latency_s: float = 1.0
     priority: int = 0
     traffic_split: list[WeightedServiceRecord] | None = None
     public: bool = False
-    service: str = ""
+    service: str | None = None
 
 
 class ServiceRecord(msgspec.Struct, rename="pascal"):
@@ -97,7 +118,7 @@
     """Workspace, which the platform calls a tenant."""
 
     name: str
-    api_keys: list[str] = []
+    api_keys: list[Annotated[str, msgspec.Meta(min_length=1)]] = []
     priority: int | None = None
     rate_per_s: float = 0.0
     burst: float = 0.0
@@ -113,14 +134,16 @@
 
 
 class ConfigurationRecord(msgspec.Struct, rename="pascal"):
-    """Configuration that the operator writes."""
+    """Configuration that the operator writes.
+
+    Without ``tenants`` it is open to everyone; without a row of them it is
+    open to nobody.
+    """
 
     version: str
     routes: Table
     services: Table
-    tenants: Table = msgspec.field(
-        default_factory=lambda: Table(columns=[], rows=[])
-    )
+    tenants: Table | msgspec.UnsetType = msgspec.UNSET
     limits: LimitsRecord = msgspec.field(default_factory=LimitsRecord)
 
 
@@ -144,31 +167,122 @@
     )
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CheckedConfiguration:
+    """A configuration, None if it has faults, and those that were found."""
+
+    configuration: routing.Configuration | None
+    faults: tuple[errors.InvalidObject, ...]
+
+
 def decode_configuration(spec: bytes) -> routing.Configuration:
     """Return the operator's configuration.
 
-    Raises ``InvalidObject`` if it cannot be decoded.
+    Raises ``InvalidObject``, with the field at fault, if it is invalid.
+    """
+    checked = check_configuration(spec)
+    for fault in checked.faults:
+        raise fault
+    assert checked.configuration is not None
+    return checked.configuration
+
+
+def check_configuration(spec: bytes) -> CheckedConfiguration:
+    """Return the operator's configuration, or all faults that it has.
+
+    The rules are applied to a configuration whose fields can be decoded.
     """
+    found: list[violations.FieldViolation] = []
+    configuration = None
     try:
-        record = msgspec.json.decode(spec, type=ConfigurationRecord)
-        return routing.Configuration(
-            version=_parse_version(record.version),
-            routes=tuple(
-                _to_route(msgspec.convert(row, RouteRecord))
-                for row in record.routes.records()
-            ),
-            services=tuple(
-                _to_service(msgspec.convert(row, ServiceRecord))
-                for row in record.services.records()
-            ),
-            workspaces=tuple(
-                _to_workspace(msgspec.convert(row, WorkspaceRecord))
-                for row in record.tenants.records()
-            ),
-            limits=_to_limits(record.limits),
-        )
+        configuration = _to_configuration(_decode_record(spec), found)
+    except violations.FieldViolation as error:
+        found.append(error)
     except DECODING_ERRORS as error:
-        raise errors.InvalidObject(f"configuration: {error}") from error
+        fault = errors.InvalidObject(f"can't be decoded: {error}")
+        return CheckedConfiguration(configuration=None, faults=(fault,))
+    if configuration is not None and not found:
+        found.extend(
+            violations.translate(violation)
+            for violation in validity.find_violations(configuration)
+        )
+    version = _find_version(spec) if found else ""
+    return CheckedConfiguration(
+        configuration=None if found else configuration,
+        faults=tuple(_to_fault(violation, version) for violation in found),
+    )
+
+
+def _to_fault(
+    violation: violations.FieldViolation, version: str
+) -> errors.InvalidObject:
+    return errors.InvalidObject(
+        violation.reason,
+        version=version,
+        place=violation.place,
+        value=violation.value,
+    )
+
+
+def _decode_record(spec: bytes) -> ConfigurationRecord:
+    try:
+        return msgspec.json.decode(spec, type=ConfigurationRecord)
+    except msgspec.ValidationError as error:
+        raise violations.locate(error, msgspec.json.decode(spec), "") from None
+
+
+def _to_configuration(
+    record: ConfigurationRecord, found: list[violations.FieldViolation]
+) -> routing.Configuration:
+    """Return a configuration without the rows that can't be decoded.
+
+    What is wrong with these is added to ``found``.
+    """
+    tenants = record.tenants
+    if isinstance(tenants, msgspec.UnsetType):
+        access = states.Access.OPEN
+        tenants = Table(columns=[], rows=[])
+    else:
+        access = states.Access.PRIVATE
+    routes = _convert_rows("Routes", record.routes, RouteRecord, found)
+    services = _convert_rows("Services", record.services, ServiceRecord, found)
+    workspaces = _convert_rows("Tenants", tenants, WorkspaceRecord, found)
+    return routing.Configuration(
+        version=_parse_version(record.version),
+        routes=tuple(_to_route(row) for row in routes),
+        services=tuple(_to_service(row) for row in services),
+        workspaces=tuple(_to_workspace(row) for row in workspaces),
+        limits=_to_limits(record.limits),
+        access=access,
+    )
+
+
+def _convert_rows(
+    name: str,
+    table: Table,
+    record_type: type[R],
+    found: list[violations.FieldViolation],
+) -> abc.Iterator[R]:
+    """Yield the rows of a table as records of a type."""
+    try:
+        table.check_shape(name)
+    except violations.FieldViolation as error:
+        found.append(error)
+        return
+    for number, row in enumerate(table.records()):
+        try:
+            yield msgspec.convert(row, record_type)
+        except msgspec.ValidationError as error:
+            place = f"{name}.Rows[{number}]"
+            found.append(violations.locate(error, row, place))
+
+
+def _find_version(spec: bytes) -> str:
+    """Return the version of an invalid configuration, if it can be read."""
+    version = msgspec.json.decode(spec)
+    if isinstance(version, dict):
+        version = version.get("Version")
+    return version if isinstance(version, str) else ""
 
 
 def decode_registration(stored: store.StoredObject) -> upstreams.Registration:
@@ -209,18 +323,29 @@
 
 
 def _parse_version(text: str) -> ids.ConfigurationVersion:
-    return ids.ConfigurationVersion(int(text.removeprefix(VERSION_PREFIX)))
+    number = text.removeprefix(VERSION_PREFIX)
+    if not number.isascii() or not number.isdecimal():
+        raise violations.FieldViolation(
+            "is not a version", "Version", violations.show(text, "Version")
+        )
+    return ids.ConfigurationVersion(int(number))
+
+
+def _find_targets(record: RouteRecord) -> list[WeightedServiceRecord]:
+    """Return the services of a route; its split goes before its service."""
+    if record.traffic_split is not None:
+        return record.traffic_split
+    if record.service is None:
+        return []
+    return [WeightedServiceRecord(service=record.service, weight=1.0)]
 
 
 def _to_route(record: RouteRecord) -> routing.Route:
-    targets = record.traffic_split or [
-        WeightedServiceRecord(service=record.service, weight=1.0)
-    ]
     return routing.Route(
         name=ids.RouteName(record.name),
         host=record.host.lower(),
         path_prefix=record.path_prefix,
-        kind=routing.RequestKind(record.kind),
+        kind=record.kind,
         timeout=record.timeout_s,
         latency_objective=record.slo_latency_s,
         priority=record.priority,
@@ -228,7 +353,7 @@
             routing.WeightedService(
                 service=ids.ServiceName(target.service), weight=target.weight
             )
-            for target in targets
+            for target in _find_targets(record)
         ),
         max_attempts=record.max_attempts,
         is_public=record.public,
