Let the placement of slots tell a broker what is under way

Cause: the scheduling coordinator built the messages to a new broker. Change: SlotPlacement builds them, and the error of a request without a place; no decision changes.

--- a/dragonflyshelf/core/scheduling/coordinator.py
+++ b/dragonflyshelf/core/scheduling/coordinator.py
@@ -122,7 +122,11 @@
 
         A slot that comes too late, or can't be used, is given back.
         """
-        effects = self._learn_capability(event, now)
+        effects: Effects = [
+            *self._slot_placement.learn_capability(
+                event, self.exchanges_by_id, now
+            )
+        ]
         exchange_id = ids.ExchangeId(event.number)
         exchange = self.exchanges_by_id.get(exchange_id)
         if event.is_queued:
@@ -134,7 +138,8 @@
         if exchange is None or not is_waiting:
             return [*effects, *self._slot_placement.give_back(event)]
         if event.retry_after > 0:
-            return [*effects, *self._refuse_overloaded(exchange, event)]
+            error = slot_placement.make_refusal(event)
+            return [*effects, *self._refuse(exchange, error)]
         upstream = self._slot_placement.find_assigned(exchange, event, now)
         if upstream is not None:
             return [*effects, self._send(exchange, upstream, now)]
@@ -144,37 +149,6 @@
             *self._enqueue(exchange, now),
         ]
 
-    def _learn_capability(
-        self, event: slots.SlotAssignment, now: ids.Instant
-    ) -> Effects:
-        """Report what is under way to a broker that now counts it.
-
-        What waits for a holder since the former broker asks again.
-        """
-        placement = self._slot_placement
-        if placement.client.serves_holders or not event.serves_holders:
-            return []
-        placement.client.serves_holders = True
-        self.fleet.broker_role = fleet.BrokerRole.MEMBER
-        effects: Effects = []
-        for exchange in self.exchanges_by_id.values():
-            effects.extend(placement.report_in_use(exchange, now))
-        for exchange_id in placement.client.waiting:
-            exchange = self.exchanges_by_id[exchange_id]
-            if self.fleet.is_sharded(exchange.service):
-                effects.append(placement.request(exchange, now))
-        return effects
-
-    def _refuse_overloaded(
-        self, exchange: exchanges.Exchange, event: slots.SlotAssignment
-    ) -> Effects:
-        error = errors.Overloaded(
-            "the broker has no place in the holder's queue,"
-            f" room expected in {event.retry_after:.2f} s",
-            retry_after=retries.bounded_retry_after(event.retry_after),
-        )
-        return self._refuse(exchange, error)
-
     @HANDLERS.register(slots.BrokerChanged)
     def _on_broker_changed(
         self, event: slots.BrokerChanged, now: ids.Instant
--- a/dragonflyshelf/core/scheduling/slot_placement.py
+++ b/dragonflyshelf/core/scheduling/slot_placement.py
@@ -2,10 +2,12 @@
 
 import dataclasses
 
+from dragonflyshelf.core import errors
 from dragonflyshelf.core import ids
 from dragonflyshelf.core.scheduling import dispatcher as dispatchers
 from dragonflyshelf.core.scheduling import exchanges
 from dragonflyshelf.core.scheduling import fleet as fleets
+from dragonflyshelf.core.scheduling import retries
 from dragonflyshelf.core.slots import client
 from dragonflyshelf.core.slots import messages
 from dragonflyshelf.core.slots import tickets
@@ -137,10 +139,33 @@
             return []
         return [_cancelled(exchange.id)]
 
-    def report_in_use(
+    def learn_capability(
+        self,
+        event: messages.SlotAssignment,
+        exchanges_by_id: dict[ids.ExchangeId, exchanges.Exchange],
+        now: ids.Instant,
+    ) -> list[messages.SlotInUse | messages.SlotRequest]:
+        """Return what to tell a broker that turns out to serve holders.
+
+        It is told what is under way, so that it counts that, and asked for
+        what waits since the former broker.
+        """
+        if self.client.serves_holders or not event.serves_holders:
+            return []
+        self.client.serves_holders = True
+        self._fleet.broker_role = fleets.BrokerRole.MEMBER
+        effects: list[messages.SlotInUse | messages.SlotRequest] = []
+        for exchange in exchanges_by_id.values():
+            effects.extend(self._report_in_use(exchange, now))
+        for exchange_id in self.client.waiting:
+            exchange = exchanges_by_id[exchange_id]
+            if self._fleet.is_sharded(exchange.service):
+                effects.append(self.request(exchange, now))
+        return effects
+
+    def _report_in_use(
         self, exchange: exchanges.Exchange, now: ids.Instant
     ) -> list[messages.SlotInUse]:
-        """Return the report to a new broker of an attempt under way."""
         upstream = exchange.upstream
         if exchange.phase is not exchanges.Phase.IN_FLIGHT or upstream is None:
             return []
@@ -184,3 +209,12 @@
     return messages.SlotReport(
         number=number, result=state.AttemptResult.CANCELLED, seconds=0.0
     )
+
+
+def make_refusal(event: messages.SlotAssignment) -> errors.Overloaded:
+    """Return the error of a request that got no place at the broker."""
+    return errors.Overloaded(
+        "the broker has no place in the holder's queue,"
+        f" room expected in {event.retry_after:.2f} s",
+        retry_after=retries.bounded_retry_after(event.retry_after),
+    )
