--- a/dragonflyshelf/core/scheduling/coordinator.py
+++ b/dragonflyshelf/core/scheduling/coordinator.py
@@ -1,7 +1,6 @@
 """Schedules requests: admission, queueing, dispatch and retries."""
 
 from collections import abc
-import heapq
 from typing import Final
 
 from dragonflyshelf.core import errors
@@ -9,21 +8,24 @@
 from dragonflyshelf.core.quota import limiter
 from dragonflyshelf.core.quota import messages as quota
 from dragonflyshelf.core import registry
-from dragonflyshelf.core.routing import split
-from dragonflyshelf.core.routing import table
 from dragonflyshelf.core.scheduling import admission
 from dragonflyshelf.core.scheduling import budget
 from dragonflyshelf.core.scheduling import const
 from dragonflyshelf.core.scheduling import dispatcher
 from dragonflyshelf.core.scheduling import exchanges
 from dragonflyshelf.core.scheduling import fleet
+from dragonflyshelf.core.scheduling import fleet_changes
+from dragonflyshelf.core.scheduling import intake
 from dragonflyshelf.core.scheduling import loads
 from dragonflyshelf.core.scheduling import messages
 from dragonflyshelf.core.scheduling import retries
 from dragonflyshelf.core.scheduling import slot_placement
+from dragonflyshelf.core.scheduling import timers
 from dragonflyshelf.core import settings
 from dragonflyshelf.core.slots import broker
+from dragonflyshelf.core.slots import holders
 from dragonflyshelf.core.slots import messages as slots
+from dragonflyshelf.core.slots import tickets
 from dragonflyshelf.core import states
 from dragonflyshelf.core.upstreams import messages as upstream_events
 from dragonflyshelf.core.upstreams import service_times
@@ -35,8 +37,6 @@
 ]
 Phase = exchanges.Phase
 
-NEVER: Final = ids.Instant(float("inf"))
-
 HANDLERS: Final[registry.Registry[type, Handler]] = registry.Registry(
     "scheduling handlers"
 )
@@ -47,22 +47,24 @@
 
     def __init__(self, config: settings.Settings) -> None:
         """Create a coordinator without a configuration."""
-        self._config = config
-        self.route_table: table.RouteTable | None = None
-        self.configuration_confirmed_at = ids.Instant(float("-inf"))
+        self._intake = intake.RequestIntake(config)
         self.token_queue = admission.TokenQueue()
         self.retry_budget = budget.RetryBudget(config.retries)
         self.fleet = fleet.Fleet(config.instance)
         self.dispatcher = dispatcher.RequestDispatcher(self.fleet)
         self._slot_broker = broker.SlotBroker(self.fleet)
-        self._slot_placement = slot_placement.SlotPlacement(self.fleet)
+        self._holder_broker = holders.HolderBroker(
+            self.fleet, self.dispatcher, self._slot_broker
+        )
+        self._slot_placement = slot_placement.SlotPlacement(
+            self.fleet, self.dispatcher
+        )
         self._retry_policy = retries.RetryPolicy(config, self.retry_budget)
         self.shard_loads = loads.ShardLoads()
         self.service_times = service_times.ServiceTimeTally()
-        self._traffic_split = split.WeightedSplit(config.instance.name)
         self.exchanges_by_id: dict[ids.ExchangeId, exchanges.Exchange] = {}
-        self._deadline_heap: list[tuple[ids.Instant, ids.ExchangeId]] = []
-        self._retry_heap: list[tuple[ids.Instant, ids.ExchangeId]] = []
+        self._deadlines = timers.ExchangeTimers()
+        self._retries = timers.ExchangeTimers()
 
     def handle(self, event: messages.Event, now: ids.Instant) -> Effects:
         """Process one event and return the resulting effects."""
@@ -70,13 +72,14 @@
 
     def wake_at(self, now: ids.Instant) -> ids.Instant:
         """Return when ``TimePassed`` is due next."""
-        wake_time = NEVER
+        wake_time = min(
+            self._deadlines.due_at,
+            self._retries.due_at,
+            self._slot_placement.client.due_at,
+        )
         if self.dispatcher.has_waiting or self.token_queue.has_waiting:
-            wake_time = ids.Instant(now + const.QUEUE_CHECK_INTERVAL_SECONDS)
-        wake_time = min(wake_time, self._slot_placement.client.due_at)
-        for heap in (self._deadline_heap, self._retry_heap):
-            if heap:
-                wake_time = min(wake_time, heap[0][0])
+            check_at = ids.Instant(now + const.QUEUE_CHECK_INTERVAL_SECONDS)
+            wake_time = min(wake_time, check_at)
         return wake_time
 
     @HANDLERS.register(messages.RequestArrived)
@@ -84,11 +87,11 @@
         self, event: messages.RequestArrived, now: ids.Instant
     ) -> Effects:
         try:
-            exchange = self._create_exchange(event, now)
+            exchange = self._intake.create_exchange(event, now)
         except errors.RouterError as error:
             return [messages.Refuse(exchange=event.exchange, error=error)]
         self.exchanges_by_id[exchange.id] = exchange
-        heapq.heappush(self._deadline_heap, (exchange.deadline, exchange.id))
+        self._deadlines.add(exchange.id, exchange.deadline)
         if exchange.match.workspace is None:
             return self._accept(exchange, now)
         return self._take_token(exchange, now)
@@ -101,6 +104,12 @@
         key = exchange.head.shard_key
         if key is not None and self.fleet.is_sharded(exchange.service):
             self.shard_loads.record_request(exchange.service, key)
+        return self._place(exchange, now)
+
+    def _place(
+        self, exchange: exchanges.Exchange, now: ids.Instant
+    ) -> Effects:
+        """Request a slot from the broker, or queue the request here."""
         if self._slot_placement.may_request(exchange, now):
             return [self._slot_placement.request(exchange, now)]
         return self._enqueue(exchange, now)
@@ -113,15 +122,29 @@
 
         A slot that comes too late, or can't be used, is given back.
         """
+        effects: Effects = [
+            *self._slot_placement.learn_capability(
+                event, self.exchanges_by_id, now
+            )
+        ]
         exchange_id = ids.ExchangeId(event.number)
         exchange = self.exchanges_by_id.get(exchange_id)
+        if event.is_queued:
+            return [
+                *effects,
+                *self._slot_placement.acknowledge(event, exchange, now),
+            ]
         is_waiting = self._slot_placement.client.remove(exchange_id)
         if exchange is None or not is_waiting:
-            return [*self._slot_placement.give_back(event)]
+            return [*effects, *self._slot_placement.give_back(event)]
+        if event.retry_after > 0:
+            error = slot_placement.make_refusal(event)
+            return [*effects, *self._refuse(exchange, error)]
         upstream = self._slot_placement.find_assigned(exchange, event, now)
         if upstream is not None:
-            return [self._send(exchange, upstream, now)]
+            return [*effects, self._send(exchange, upstream, now)]
         return [
+            *effects,
             *self._slot_placement.give_back(event),
             *self._enqueue(exchange, now),
         ]
@@ -130,57 +153,47 @@
     def _on_broker_changed(
         self, event: slots.BrokerChanged, now: ids.Instant
     ) -> Effects:
-        self._slot_placement.client.set_available(event.is_available)
-        return []
+        self._slot_placement.client.set_available(event.is_available, now)
+        return [slots.CAPABILITY_QUERY] if event.is_available else []
 
     @HANDLERS.register(slots.SlotRequested)
     def _on_slot_requested(
         self, event: slots.SlotRequested, now: ids.Instant
     ) -> Effects:
-        return [self._slot_broker.assign(event, now)]
+        request = event.request
+        if request.shard_key == slots.NO_SHARD_KEY:
+            return [self._slot_broker.assign(event, now)]
+        return [
+            *self._holder_broker.request(event, now),
+            *self._dispatch_queued(request.service, now),
+            *self._holder_broker.acknowledge(event),
+        ]
 
     @HANDLERS.register(slots.SlotReported)
     def _on_slot_reported(
         self, event: slots.SlotReported, now: ids.Instant
     ) -> Effects:
-        self._slot_broker.report(event, now)
-        return []
-
-    def _create_exchange(
-        self, event: messages.RequestArrived, now: ids.Instant
-    ) -> exchanges.Exchange:
-        """Match a request to its route and create its exchange."""
-        if self.route_table is None:
-            raise errors.StaleInstance(
-                "no configuration has been received yet",
-                retry_after=const.MAX_RETRY_AFTER_SECONDS / 2,
-            )
-        head = event.head
-        match = self.route_table.match(head.host, head.path, head.key_digest)
-        if match.workspace is not None:
-            self._check_configuration_age(now)
-        route = match.route
-        return exchanges.Exchange(
-            id=event.exchange,
-            head=head,
-            match=match,
-            service=self._traffic_split.choose(route),
-            arrived_at=now,
-            deadline=min(head.deadline, ids.Instant(now + route.timeout)),
-        )
+        service = self._slot_broker.report(event, now)
+        if service is None:
+            self._holder_broker.withdraw(event)
+            return []
+        if not self.fleet.is_sharded(service):
+            return []
+        return self._dispatch_queued(service, now)
 
-    def _check_configuration_age(self, now: ids.Instant) -> None:
-        """Raise if the configuration is too old to trust caller keys.
+    @HANDLERS.register(slots.SlotInUseReported)
+    def _on_slot_in_use_reported(
+        self, event: slots.SlotInUseReported, now: ids.Instant
+    ) -> Effects:
+        self._slot_broker.record_in_use(event, now)
+        return []
 
-        A key may have been withdrawn since it was last confirmed.
-        """
-        age = now - self.configuration_confirmed_at
-        if age <= self._config.freshness.longest_age:
-            return
-        raise errors.StaleInstance(
-            f"configuration was last confirmed {age:.1f} s ago",
-            retry_after=const.MAX_RETRY_AFTER_SECONDS / 2,
-        )
+    @HANDLERS.register(slots.LinkClosed)
+    def _on_link_closed(
+        self, event: slots.LinkClosed, now: ids.Instant
+    ) -> Effects:
+        self.dispatcher.remove_link(event.link)
+        return []
 
     def _take_token(
         self, exchange: exchanges.Exchange, now: ids.Instant
@@ -247,6 +260,8 @@
         upstream = exchange.upstream
         upstream.finish(event.result, seconds, event.report, now)
         service = self.fleet.service_state(exchange.service)
+        if event.is_turned_away and self.fleet.is_sharded(exchange.service):
+            upstream.record_turned_away(service.mean_service_time, now)
         if event.result is state.AttemptResult.RESPONDED:
             incarnation = upstream.registration.incarnation
             service.record_response(incarnation, seconds, now)
@@ -257,7 +272,11 @@
         exchange.phase = Phase.DONE
         effects: Effects = [
             *self._slot_placement.report(
-                exchange, event.result, event.report, now
+                exchange,
+                event.result,
+                event.report,
+                now,
+                event.is_turned_away,
             )
         ]
         if event.error is not None and not event.response_started:
@@ -282,14 +301,14 @@
         if event.result is not state.AttemptResult.UNREACHABLE:
             self.retry_budget.record_retry(exchange.service, now)
         if not delay:
-            return self._enqueue(exchange, now)
+            return self._place(exchange, now)
         return self._schedule_retry(exchange, ids.Instant(now + delay))
 
     def _schedule_retry(
         self, exchange: exchanges.Exchange, retry_at: ids.Instant
     ) -> Effects:
         exchange.phase = Phase.RETRY_DELAY
-        heapq.heappush(self._retry_heap, (retry_at, exchange.id))
+        self._retries.add(exchange.id, retry_at)
         return []
 
     def _enqueue(
@@ -329,9 +348,13 @@
     ) -> Effects:
         """Send queued requests of a service to upstreams with capacity."""
         effects: Effects = []
-        for exchange_id, upstream in self.dispatcher.assign(service, now):
-            exchange = self.exchanges_by_id[exchange_id]
-            effects.append(self._send(exchange, upstream, now))
+        for waiting, upstream in self.dispatcher.assign(service, now):
+            if isinstance(waiting, tickets.SlotTicket):
+                effects.append(
+                    self._holder_broker.assign(waiting, upstream, now)
+                )
+            else:
+                effects.append(self._send(waiting, upstream, now))
         return effects
 
     def _send(
@@ -398,7 +421,7 @@
         if phase is Phase.AWAITING_TOKEN and exchange.workspace is not None:
             self.token_queue.cancel(exchange.id, exchange.workspace)
         if phase is Phase.AWAITING_SLOT:
-            self._slot_placement.client.remove(exchange.id)
+            return [*self._slot_placement.withdraw(exchange)]
         if phase is not Phase.IN_FLIGHT or exchange.upstream is None:
             return []
         exchange.upstream.finish(
@@ -419,14 +442,12 @@
         self, event: messages.TimePassed, now: ids.Instant
     ) -> Effects:
         effects: Effects = []
-        while self._deadline_heap and self._deadline_heap[0][0] <= now:
-            _, exchange_id = heapq.heappop(self._deadline_heap)
+        for exchange_id in self._deadlines.pop_due(now):
             effects.extend(self._refuse_past_deadline(exchange_id, now))
-        while self._retry_heap and self._retry_heap[0][0] <= now:
-            _, exchange_id = heapq.heappop(self._retry_heap)
+        for exchange_id in self._retries.pop_due(now):
             exchange = self.exchanges_by_id.get(exchange_id)
             if exchange is not None and exchange.phase is Phase.RETRY_DELAY:
-                effects.extend(self._enqueue(exchange, now))
+                effects.extend(self._place(exchange, now))
         effects.extend(
             self._apply_decisions(self.token_queue.resolve_overdue(now), now)
         )
@@ -441,8 +462,8 @@
     def _check_queues(self, now: ids.Instant) -> Effects:
         """Refuse requests that waited too long, and send what can be."""
         effects: Effects = []
-        for exchange_id in self.dispatcher.remove_expired(now):
-            effects.extend(self._refuse_expired(exchange_id, now))
+        for waiting in self.dispatcher.remove_expired(now):
+            effects.extend(self._refuse_expired(waiting, now))
         for service in self.fleet.service_names():
             effects.extend(self._dispatch_queued(service, now))
         return effects
@@ -463,9 +484,14 @@
         return [*effects, *self._refuse(exchange, error)]
 
     def _refuse_expired(
-        self, exchange_id: ids.ExchangeId, now: ids.Instant
+        self, waiting: dispatcher.Waiting, now: ids.Instant
     ) -> Effects:
-        exchange = self.exchanges_by_id[exchange_id]
+        if isinstance(waiting, tickets.SlotTicket):
+            service = self.fleet.service_state(waiting.request.service)
+            return [
+                self._holder_broker.expire(waiting, service.mean_service_time)
+            ]
+        exchange = waiting
         service = self.fleet.service_state(exchange.service)
         waited = now - exchange.arrived_at
         error = errors.Overloaded(
@@ -478,11 +504,9 @@
     def _on_configuration_changed(
         self, event: messages.ConfigurationChanged, now: ids.Instant
     ) -> Effects:
-        current = self.route_table
         configuration = event.configuration
-        if current and current.configuration.version >= configuration.version:
+        if not self._intake.set_configuration(configuration):
             return []
-        self.route_table = table.RouteTable(configuration)
         self.fleet.set_services(configuration.services)
         return self._apply_decisions(
             self.token_queue.set_workspaces(configuration.workspaces), now
@@ -492,7 +516,7 @@
     def _on_settings_changed(
         self, event: settings.SettingsChanged, now: ids.Instant
     ) -> Effects:
-        self._config = event.settings
+        self._intake.set_settings(event.settings)
         self.retry_budget.set_settings(event.settings.retries)
         self._retry_policy.set_settings(event.settings.requests)
         return []
@@ -501,51 +525,21 @@
     def _on_configuration_confirmed(
         self, event: messages.ConfigurationConfirmed, now: ids.Instant
     ) -> Effects:
-        self.configuration_confirmed_at = max(
-            self.configuration_confirmed_at, event.confirmed_at
-        )
+        self._intake.confirm(event.confirmed_at)
         return []
 
+    @HANDLERS.register(messages.AssignmentsChanged)
+    @HANDLERS.register(upstream_events.EvacuationsChanged)
     @HANDLERS.register(upstream_events.RegistrationsChanged)
-    def _on_registrations_changed(
-        self, event: upstream_events.RegistrationsChanged, now: ids.Instant
-    ) -> Effects:
-        self.fleet.set_registrations(event.registrations, now)
-        return self._requeue_waiting(now)
-
     @HANDLERS.register(upstream_events.UpstreamNotice)
-    def _on_upstream_notice(
-        self, event: upstream_events.UpstreamNotice, now: ids.Instant
+    def _on_fleet_changed(
+        self, event: messages.Event, now: ids.Instant
     ) -> Effects:
-        """Send nothing more to an upstream that leaves or has no room."""
-        notices = self.fleet.notices
-        incarnation = event.incarnation
-        is_new = False
-        if event.backoff_seconds > 0:
-            notices.record_backoff(incarnation, event.backoff_seconds, now)
-            is_new = True
-        if event.is_leaving:
-            is_new = notices.record_leaving(incarnation, now) or is_new
-        if not is_new:
+        change = fleet_changes.CHANGES.get(type(event))
+        effects = change(self.fleet, event, now)
+        if effects is None:
             return []
-        return [
-            messages.ReturnUnsent(incarnation=incarnation),
-            *self._requeue_waiting(now),
-        ]
-
-    @HANDLERS.register(upstream_events.EvacuationsChanged)
-    def _on_evacuations_changed(
-        self, event: upstream_events.EvacuationsChanged, now: ids.Instant
-    ) -> Effects:
-        self.fleet.set_evacuated(event.data_centres, now)
-        return self._requeue_waiting(now)
-
-    @HANDLERS.register(messages.AssignmentsChanged)
-    def _on_assignments_changed(
-        self, event: messages.AssignmentsChanged, now: ids.Instant
-    ) -> Effects:
-        self.fleet.service_state(event.plan.service).plan = event.plan
-        return self._requeue_waiting(now)
+        return [*effects, *self._requeue_waiting(now)]
 
     @HANDLERS.register(messages.InstancesChanged)
     def _on_instances_changed(
@@ -553,21 +547,34 @@
     ) -> Effects:
         self.token_queue.limiter.set_instance_count(len(event.instances))
         self.retry_budget.set_instance_count(len(event.instances))
-        self.fleet.ramp.set_instances(event.instances)
+        self.fleet.set_instances(event.instances)
         return []
 
     def _requeue_waiting(self, now: ids.Instant) -> Effects:
         """Queue waiting requests again after the upstreams changed."""
-        waiting_ids = self.dispatcher.remove_all()
-        waiting_ids.extend(exchange_id for _, exchange_id in self._retry_heap)
-        self._retry_heap.clear()
         effects: Effects = []
-        for exchange_id in waiting_ids:
+        queued = self.dispatcher.remove_all()
+        delayed_ids = self._retries.remove_all()
+        for waiting in queued:
+            if isinstance(waiting, tickets.SlotTicket):
+                effects.extend(self._holder_broker.push(waiting, now))
+                service = waiting.request.service
+                effects.extend(self._dispatch_queued(service, now))
+            else:
+                effects.extend(self._requeue(waiting, now))
+        for exchange_id in delayed_ids:
             exchange = self.exchanges_by_id.get(exchange_id)
-            if exchange is None or exchange.phase not in (
-                Phase.RETRY_DELAY,
-                Phase.QUEUED,
-            ):
-                continue
-            effects.extend(self._enqueue(exchange, now))
+            if exchange is not None and exchange.phase is Phase.RETRY_DELAY:
+                effects.extend(self._requeue(exchange, now))
         return effects
+
+    def _requeue(
+        self, exchange: exchanges.Exchange, now: ids.Instant
+    ) -> Effects:
+        """Queue a request again; for a holder at the broker, if any.
+
+        When a range has moved, all that waited for it come at once.
+        """
+        if self.fleet.is_sharded(exchange.service):
+            return self._place(exchange, now)
+        return self._enqueue(exchange, now)
