Bound what an odd entry of the registry costs others

Cause: the entries of another writer may have 1 MB each. Ten of them made an update longer than a frame may be: followers closed the connection, time and again, and got nothing from the instance that had listed them.

Change: of a registration or evacuation with a specification of more than 4 KB only name and revision are kept; such a registration names no upstream.

Result: TestLongEntries failed at the length of the frame (10,001,868 of 8,388,608 bytes) and passes.

--- a/dragonflyshelf/platform/records.py
+++ b/dragonflyshelf/platform/records.py
@@ -28,6 +28,17 @@
 NULL: Final = b"null"
 """Specification of an object that cannot be decoded."""
 
+ENTRY_KINDS: Final = frozenset(
+    {store.ObjectKind.EVACUATION, store.ObjectKind.REGISTRATION}
+)
+"""Kinds of short entries, of which there are many."""
+
+MAX_ENTRY_BYTES: Final = 4096
+"""Longest specification of an entry; a registration has a few hundred.
+
+An update for a follower has all entries in one frame.
+"""
+
 WHOLE_KINDS: Final = frozenset({store.ObjectKind.REGISTRATION})
 """Kinds whose specification counts only if all of the object is valid.
 
@@ -168,12 +179,7 @@
     is_usable = revision is not None and kind not in WHOLE_KINDS
     if not is_usable or _decode(spec, msgspec.Raw) is None:
         spec = NULL
-    return store.StoredObject(
-        kind=kind,
-        name=ids.ObjectName(name),
-        revision=ids.Revision(revision or default_revision),
-        spec=spec,
-    )
+    return _make_stored_object(kind, name, revision or default_revision, spec)
 
 
 def _decode_event(
@@ -212,11 +218,26 @@
 def _to_stored_object(
     kind: store.ObjectKind, record: StoreObject
 ) -> store.StoredObject:
+    metadata = record.metadata
+    return _make_stored_object(
+        kind, metadata.name, metadata.revision, bytes(record.spec)
+    )
+
+
+def _make_stored_object(
+    kind: store.ObjectKind, name: str, revision: int, spec: bytes
+) -> store.StoredObject:
+    """Return an object, without a specification that is too long."""
+    if kind in ENTRY_KINDS and len(spec) > MAX_ENTRY_BYTES:
+        _LOGGER.warning(
+            "%s %r is too long: %d bytes", kind.value, name, len(spec)
+        )
+        spec = NULL
     return store.StoredObject(
         kind=kind,
-        name=ids.ObjectName(record.metadata.name),
-        revision=ids.Revision(record.metadata.revision),
-        spec=bytes(record.spec),
+        name=ids.ObjectName(name),
+        revision=ids.Revision(revision),
+        spec=spec,
     )
 
 
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -32,6 +32,9 @@
     b'{"Service":"letters","Address":"10.0.0.9:8080","Zone":"a",'
     b'"Slots":6,"State":"ready","born":7}'
 )
+MAX_OBJECT_BYTES = 1_000_000
+"""Bytes that the store allows for an object."""
+
 DEEP = b"[" * 2000 + b"]" * 2000
 ODD_VALUES = [
     b'"\\ud800"',
@@ -267,6 +270,37 @@
         assert listed.spec == GOOD_SPEC
 
 
+class TestLongEntries:
+    """Entries of the registry that are as long as the store allows.
+
+    An update with ten of them was too long a frame, so that the followers
+    of an instance that had listed them got nothing from it any more.
+    """
+
+    @pytest.mark.parametrize("is_valid", [False, True])
+    def test_update(self, is_valid: bool) -> None:
+        """They name no upstream, and the others reach the followers."""
+        instance, follower = Instance(), Instance()
+        padding = b',"a":"%s"}' % (b"x" * MAX_OBJECT_BYTES)
+        spec = (GOOD_SPEC if is_valid else b'{"b":1}')[:-1] + padding
+        odd = [
+            encode_object(name=b'"z%d"' % number, spec=spec)
+            for number in range(10)
+        ]
+        instance.apply_list(encode_object(), *odd)
+        follower.follow(instance)
+        assert follower.upstream_ids() == instance.upstream_ids() == ["u1"]
+
+    def test_evacuation(self) -> None:
+        """It holds by its name, whatever has been written into it."""
+        odd = encode_object(spec=b'"%s"' % (b"x" * MAX_OBJECT_BYTES))
+        (stored,) = decode_items(odd, kind=Kind.EVACUATION).objects
+        decoded_objects = decoding.DecodedObjects()
+        decoded_objects.apply(stored)
+        assert decoded_objects.values(Kind.EVACUATION) == ("u1",)
+        assert len(stored.spec) <= records.MAX_ENTRY_BYTES
+
+
 class TestUnreadableResponse:
     """A response that is no list of records."""
 
