Take no entry as an upstream whose id no request can carry

Cause: a request names its upstream in a header. An entry of another writer whose name has a line break or the like could not be sent any request; the attempt failed with an unknown outcome, and so did an order of a caller.

Change: of such a registration only name and revision are kept. The test of odd names in a list looks at the names that are listed, as one of them, with a line break, is no upstream any more.

--- a/dragonflyshelf/platform/records.py
+++ b/dragonflyshelf/platform/records.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import re
 from typing import Annotated, Any, Final
 
 from absl import logging
@@ -39,6 +40,11 @@
 An update for a follower has all entries in one frame.
 """
 
+UPSTREAM_ID_PATTERN: Final = re.compile(
+    r"[^\x00-\x20\x7f]([^\x00-\x1f\x7f]*[^\x00-\x20\x7f])?"
+)
+"""Ids of upstreams, which a header of each request has as its value."""
+
 WHOLE_KINDS: Final = frozenset({store.ObjectKind.REGISTRATION})
 """Kinds whose specification counts only if all of the object is valid.
 
@@ -227,11 +233,10 @@
 def _make_stored_object(
     kind: store.ObjectKind, name: str, revision: int, spec: bytes
 ) -> store.StoredObject:
-    """Return an object, without a specification that is too long."""
-    if kind in ENTRY_KINDS and len(spec) > MAX_ENTRY_BYTES:
-        _LOGGER.warning(
-            "%s %r is too long: %d bytes", kind.value, name, len(spec)
-        )
+    """Return an object, without a specification that can't be used."""
+    reason = _find_reason(kind, name, spec)
+    if reason:
+        _LOGGER.warning("ignoring %s %r: %s", kind.value, name, reason)
         spec = NULL
     return store.StoredObject(
         kind=kind,
@@ -241,6 +246,16 @@
     )
 
 
+def _find_reason(kind: store.ObjectKind, name: str, spec: bytes) -> str:
+    """Return why the specification of an entry can't be used, or ``""``."""
+    if kind in ENTRY_KINDS and len(spec) > MAX_ENTRY_BYTES:
+        return f"{len(spec)} bytes are too long"
+    is_registration = kind is store.ObjectKind.REGISTRATION
+    if is_registration and not UPSTREAM_ID_PATTERN.fullmatch(name):
+        return "a request cannot carry this id"
+    return ""
+
+
 def _to_change(stored: store.StoredObject, is_removed: bool) -> store.Change:
     if not is_removed:
         return stored
