Go on with the store after an error that no code expects

In a write it left the queue of its object, so that later ones, such as renewals of the lease, waited for ever.

Change: it is logged with its trace and counts as a call that failed, or as a write of unknown outcome.

Result: test_unexpected_error and TestUnexpectedError timed out and pass.

--- a/dragonflyshelf/runtime/store/watch.py
+++ b/dragonflyshelf/runtime/store/watch.py
@@ -3,6 +3,8 @@
 import asyncio
 import random
 
+from absl import logging
+
 from dragonflyshelf.core import errors
 from dragonflyshelf.core import ids
 from dragonflyshelf.core import settings
@@ -13,6 +15,8 @@
 from dragonflyshelf.runtime.store import messages
 from dragonflyshelf.runtime import task
 
+_LOGGER = logging.get_absl_logger()
+
 BATCH_DELAY_SECONDS = 0.08
 """Seconds to wait before watching a busy kind again, to batch changes."""
 
@@ -82,14 +86,25 @@
                     failure_backoff.reset()
                 except errors.WatchExpired:
                     revision = ids.Revision(0)
-                except errors.RouterError as error:
-                    failure = store.StoreCallFailed(kind=kind, error=error)
-                    self._control_inbox.post(failure)
+                except Exception as error:
+                    self._report_failure(kind, error)
                     delay = failure_backoff.next_delay(self._has_followers)
                     await asyncio.sleep(delay * random.uniform(0.7, 1.0))
         finally:
             store_client.close()
 
+    def _report_failure(
+        self, kind: store.ObjectKind, error: Exception
+    ) -> None:
+        """Report that a call failed, also by an error of our own.
+
+        Such an error must not end the watch, as nothing else begins it anew.
+        """
+        if not isinstance(error, errors.RouterError):
+            _LOGGER.exception("reading %s failed", kind.value)
+            error = errors.PlatformUnavailable(f"reading failed: {error!r}")
+        self._control_inbox.post(store.StoreCallFailed(kind=kind, error=error))
+
     async def _async_list_or_watch(
         self,
         store_client: client.StoreClient,
--- a/dragonflyshelf/runtime/store/write.py
+++ b/dragonflyshelf/runtime/store/write.py
@@ -86,6 +86,8 @@
                 error,
                 extra=logs.error_fields(error),
             )
+        except Exception:
+            _LOGGER.exception("writing control object %s failed", write.name)
         return grantor.ControlWriteCompleted(
             write=write, outcome=store.WriteOutcome.UNKNOWN, sent_at=sent_at
         )
--- a/tests/runtime/store/test_watch.py
+++ b/tests/runtime/store/test_watch.py
@@ -4,9 +4,12 @@
 from collections import abc
 import contextlib
 
+import pytest
+
 from dragonflyshelf.core import ids
 from dragonflyshelf.core import settings
 from dragonflyshelf.core.store import messages as store
+from dragonflyshelf.platform import store as client
 from dragonflyshelf.runtime import http_server
 from dragonflyshelf.runtime import inbox
 from dragonflyshelf.runtime.store import messages
@@ -116,3 +119,27 @@
             assert "no progress" in event.error.message
 
         asyncio.run(async_check())
+
+    def test_unexpected_error(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """A response that no code expects doesn't end the watch."""
+        async_list = client.StoreClient.async_list
+        responses = iter([ValueError("unexpected")])
+
+        async def async_fail_once(
+            store_client: client.StoreClient, kind: Kind, sent_at: ids.Instant
+        ) -> store.KindListed:
+            for error in responses:
+                raise error
+            return await async_list(store_client, kind, sent_at)
+
+        monkeypatch.setattr(client.StoreClient, "async_list", async_fail_once)
+
+        async def async_check() -> None:
+            async with async_run_watch() as (_, watch_task, events):
+                watch_task.inbox.post(watch_kinds(Kind.REGISTRATION))
+                async with asyncio.timeout(TIMEOUT_SECONDS):
+                    await events.async_wait()
+                assert isinstance(events.pop(), store.StoreCallFailed)
+                assert await async_next_listed(events) is Kind.REGISTRATION
+
+        asyncio.run(async_check())
--- a/tests/runtime/store/test_write.py
+++ b/tests/runtime/store/test_write.py
@@ -10,6 +10,7 @@
 from dragonflyshelf.core import ids
 from dragonflyshelf.core import settings
 from dragonflyshelf.core.store import messages as store
+from dragonflyshelf.platform import store as client
 from dragonflyshelf.runtime import http_server
 from dragonflyshelf.runtime import inbox
 from dragonflyshelf.runtime.store import write
@@ -148,3 +149,50 @@
         assert completed.current.name == self.NAME
         assert completed.current.value == self.PLAN
         assert completed.current.revision > 0
+
+
+class TestUnexpectedError:
+    """A write fails in a way that no code expects."""
+
+    def test_next_write(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Its outcome is unknown, and those after it are done."""
+        async_write = client.StoreClient.async_write
+        responses = iter([ValueError("unexpected")])
+
+        async def async_fail_once(
+            store_client: client.StoreClient,
+            written: grantor.WriteControl,
+            sent_at: ids.Instant,
+        ) -> grantor.ControlWriteCompleted:
+            for error in responses:
+                raise error
+            return await async_write(store_client, written, sent_at)
+
+        monkeypatch.setattr(client.StoreClient, "async_write", async_fail_once)
+
+        async def async_write_twice() -> list[store.WriteOutcome]:
+            control_inbox = inbox.Inbox("control")
+            outcomes = []
+            async with stand_in.async_run_store() as server:
+                config = settings.StoreSettings(
+                    address=f"{deployment.HOST}:{server.port}"
+                )
+                write_task = write.StoreWriteTask(config, control_inbox)
+                async with write_task.async_running(), asyncio.timeout(5):
+                    for _ in range(2):
+                        write_task.inbox.post(
+                            grantor.WriteControl(
+                                name=ids.ObjectName("lease"),
+                                expected_revision=ids.Revision(0),
+                                value=LEASE,
+                                timeout=0.5,
+                            )
+                        )
+                        await control_inbox.async_wait()
+                        outcomes.append(control_inbox.pop().outcome)
+            return outcomes
+
+        assert asyncio.run(async_write_twice()) == [
+            store.WriteOutcome.UNKNOWN,
+            store.WriteOutcome.DONE,
+        ]
