Move the tracking of loads and the splitting of ranges to files of their own

Change: LoadTracker moves to load_tracker.py, split and merged move to planning.py beside the other operations on assignments.

--- a/dragonflyshelf/core/grantor/planning.py
+++ b/dragonflyshelf/core/grantor/planning.py
@@ -107,3 +107,43 @@
         )
         self.range_counts_by_incarnation[incarnation] += 1
         return self._candidates_by_incarnation[incarnation]
+
+
+def split(
+    assignment: objects.Assignment, first: ids.ShardKey, last: ids.ShardKey
+) -> tuple[objects.Assignment, ...]:
+    """Split a range so that ``first`` to ``last`` is a range of its own."""
+    parts = []
+    if assignment.first < first:
+        parts.append(
+            dataclasses.replace(assignment, last=ids.ShardKey(first - 1))
+        )
+    parts.append(dataclasses.replace(assignment, first=first, last=last))
+    if last < assignment.last:
+        parts.append(
+            dataclasses.replace(assignment, first=ids.ShardKey(last + 1))
+        )
+    return tuple(parts)
+
+
+def merged(
+    assignments: list[objects.Assignment],
+) -> tuple[objects.Assignment, ...]:
+    """Merge adjacent settled ranges of the same holder."""
+    merged_assignments: list[objects.Assignment] = []
+    for assignment in assignments:
+        previous = merged_assignments[-1] if merged_assignments else None
+        if (
+            previous is not None
+            and previous.life == assignment.life
+            and previous.is_settled
+            and assignment.is_settled
+        ):
+            merged_assignments[-1] = dataclasses.replace(
+                previous,
+                last=assignment.last,
+                epoch=max(previous.epoch, assignment.epoch),
+            )
+            continue
+        merged_assignments.append(assignment)
+    return tuple(merged_assignments)
--- a/dragonflyshelf/core/grantor/rebalancing.py
+++ b/dragonflyshelf/core/grantor/rebalancing.py
@@ -10,7 +10,6 @@
 import dataclasses
 
 from dragonflyshelf.core.grantor import const
-from dragonflyshelf.core.grantor import messages
 from dragonflyshelf.core.grantor import objects
 from dragonflyshelf.core.grantor import planning
 from dragonflyshelf.core import ids
@@ -26,64 +25,6 @@
 MIN_SERVICE_TIME_SECONDS = 0.001
 """Lower limit on the service time; it avoids a division by zero."""
 
-MIN_BUCKET_REQUESTS_PER_SECOND = 0.05
-"""Average load below which a bucket is no longer tracked."""
-
-
-@dataclasses.dataclass(kw_only=True, slots=True)
-class InstanceLoad:
-    """Moving average of one instance's load by bucket."""
-
-    rates_by_bucket: dict[ids.ShardKey, float]
-    reported_at: ids.Instant
-
-
-class LoadTracker:
-    """Load of one service by bucket of keys, from all instances' reports."""
-
-    def __init__(self) -> None:
-        """Create a tracker without reports."""
-        self._loads_by_instance: dict[ids.InstanceId, InstanceLoad] = {}
-
-    def add_report(
-        self,
-        instance: ids.InstanceId,
-        loads: abc.Iterable[messages.RangeLoad],
-        now: ids.Instant,
-    ) -> None:
-        """Add an instance's report to its moving averages."""
-        new_rates = {load.first: load.rate for load in loads}
-        instance_load = self._loads_by_instance.get(instance)
-        if instance_load is None:
-            self._loads_by_instance[instance] = InstanceLoad(
-                rates_by_bucket=new_rates, reported_at=now
-            )
-            return
-        rates = {
-            first: rate * (1.0 - const.LOAD_SMOOTHING_RATIO)
-            for first, rate in instance_load.rates_by_bucket.items()
-            if rate > MIN_BUCKET_REQUESTS_PER_SECOND
-        }
-        for first, rate in new_rates.items():
-            rates[first] = (
-                rates.get(first, 0.0) + rate * const.LOAD_SMOOTHING_RATIO
-            )
-        instance_load.rates_by_bucket = rates
-        instance_load.reported_at = now
-
-    def load_by_bucket(self, now: ids.Instant) -> dict[ids.ShardKey, float]:
-        """Return the load of each bucket, in requests per second."""
-        rates: dict[ids.ShardKey, float] = {}
-        for instance_load in self._loads_by_instance.values():
-            if (
-                now - instance_load.reported_at
-                > const.MAX_LOAD_REPORT_AGE_SECONDS
-            ):
-                continue
-            for first, rate in instance_load.rates_by_bucket.items():
-                rates[first] = rates.get(first, 0.0) + rate
-        return rates
-
 
 def capacities(
     candidates: abc.Collection[upstreams.Registration],
@@ -180,7 +121,7 @@
             if not self._make_next_move():
                 break
         first_keys = sorted(self._assignments_by_first_key)
-        return merged(
+        return planning.merged(
             [self._assignments_by_first_key[first] for first in first_keys]
         )
 
@@ -379,46 +320,10 @@
         subrange = move.subrange
         self._load_by_incarnation[source] -= subrange.rate
         self._load_by_incarnation[move.target] += subrange.rate
-        for part in split(subrange.assignment, subrange.first, subrange.last):
+        for part in planning.split(
+            subrange.assignment, subrange.first, subrange.last
+        ):
             if part.first == subrange.first:
                 target = self._candidates_by_incarnation[move.target]
                 part = planning.moved(part, target)
             self._assignments_by_first_key[part.first] = part
-
-
-def split(
-    assignment: objects.Assignment, first: ids.ShardKey, last: ids.ShardKey
-) -> Assignments:
-    """Split a range so that ``first`` to ``last`` is a range of its own."""
-    parts = []
-    if assignment.first < first:
-        parts.append(
-            dataclasses.replace(assignment, last=ids.ShardKey(first - 1))
-        )
-    parts.append(dataclasses.replace(assignment, first=first, last=last))
-    if last < assignment.last:
-        parts.append(
-            dataclasses.replace(assignment, first=ids.ShardKey(last + 1))
-        )
-    return tuple(parts)
-
-
-def merged(assignments: list[objects.Assignment]) -> Assignments:
-    """Merge adjacent settled ranges of the same holder."""
-    merged_assignments: list[objects.Assignment] = []
-    for assignment in assignments:
-        previous = merged_assignments[-1] if merged_assignments else None
-        if (
-            previous is not None
-            and previous.life == assignment.life
-            and previous.is_settled
-            and assignment.is_settled
-        ):
-            merged_assignments[-1] = dataclasses.replace(
-                previous,
-                last=assignment.last,
-                epoch=max(previous.epoch, assignment.epoch),
-            )
-            continue
-        merged_assignments.append(assignment)
-    return tuple(merged_assignments)
--- a/dragonflyshelf/core/grantor/shards.py
+++ b/dragonflyshelf/core/grantor/shards.py
@@ -8,6 +8,7 @@
 from dragonflyshelf.core.grantor import const
 from dragonflyshelf.core.grantor import failure_detector
 from dragonflyshelf.core.grantor import hold
+from dragonflyshelf.core.grantor import load_tracker
 from dragonflyshelf.core.grantor import messages
 from dragonflyshelf.core.grantor import objects
 from dragonflyshelf.core.grantor import planning
@@ -52,7 +53,7 @@
         self._service_times_by_incarnation: dict[
             ids.UpstreamIncarnation, service_times.ServiceTimeSum
         ] = {}
-        self.load_tracker = rebalancing.LoadTracker()
+        self.load_tracker = load_tracker.LoadTracker()
         self._next_write_at = range_grants.DISTANT_PAST
         self._planning_starts_at = range_grants.DISTANT_PAST
         self._predecessor_until = range_grants.DISTANT_PAST
--- a/tests/core/grantor/test_rebalancing.py
+++ b/tests/core/grantor/test_rebalancing.py
@@ -128,7 +128,7 @@
         """The parts of a range cover it without a gap."""
         assignment = ASSIGNMENTS[1]
         first = ids.ShardKey(assignment.first + 64)
-        parts = rebalancing.split(assignment, first, ids.ShardKey(first + 63))
+        parts = planning.split(assignment, first, ids.ShardKey(first + 63))
         assert [part.first for part in parts] == [
             assignment.first,
             first,
@@ -139,19 +139,17 @@
     def test_adjacent_ranges_are_merged(self) -> None:
         """Adjacent settled ranges of one holder are merged."""
         assignment = ASSIGNMENTS[0]
-        parts = rebalancing.split(
-            assignment, ids.ShardKey(64), ids.ShardKey(127)
-        )
-        assert rebalancing.merged(list(parts)) == (assignment,)
+        parts = planning.split(assignment, ids.ShardKey(64), ids.ShardKey(127))
+        assert planning.merged(list(parts)) == (assignment,)
 
     def test_merged_range_has_the_highest_epoch(self) -> None:
         """A merged range has the highest epoch of its parts."""
         assignment = ASSIGNMENTS[0]
-        first, second, _ = rebalancing.split(
+        first, second, _ = planning.split(
             assignment, ids.ShardKey(64), ids.ShardKey(127)
         )
         higher = dataclasses.replace(second, epoch=ids.Epoch(8))
-        (merged,) = rebalancing.merged([first, higher])
+        (merged,) = planning.merged([first, higher])
         assert merged.epoch == 8
 
 
