Tell which upstreams may hold ranges in a class of its own

Change: grantor/holders.py has them and answers who may keep ranges and who may get some; ShardManager keeps plan and grants. No change of behaviour.

--- a/dragonflyshelf/core/grantor/shards.py
+++ b/dragonflyshelf/core/grantor/shards.py
@@ -8,6 +8,7 @@
 from dragonflyshelf.core.grantor import const
 from dragonflyshelf.core.grantor import failure_detector
 from dragonflyshelf.core.grantor import hold
+from dragonflyshelf.core.grantor import holders
 from dragonflyshelf.core.grantor import load_tracker
 from dragonflyshelf.core.grantor import messages
 from dragonflyshelf.core.grantor import objects
@@ -37,19 +38,10 @@
         self._plan: objects.ShardPlan | None = None
         self._revision = ids.Revision(0)
         self._grants: list[range_grants.RangeGrant] = []
-        self._registrations: tuple[upstreams.Registration, ...] = ()
-        self._registrations_by_incarnation: dict[
-            ids.UpstreamIncarnation, upstreams.Registration
-        ] = {}
-        self._failure_detector = failure_detector.FailureDetector()
+        self._holders = holders.Holders()
         self._failed_incarnations: set[ids.UpstreamIncarnation] = set()
-        self._warm_at_by_incarnation: dict[
-            ids.UpstreamIncarnation, ids.Instant
-        ] = {}
-        self._evacuated_data_centres: frozenset[ids.DataCentreId] = frozenset()
         self._is_writing = False
         self._next_rebalance_at = range_grants.DISTANT_PAST
-        self._last_registered_at = range_grants.DISTANT_PAST
         self._service_times_by_incarnation: dict[
             ids.UpstreamIncarnation, service_times.ServiceTimeSum
         ] = {}
@@ -71,21 +63,7 @@
         now: ids.Instant,
     ) -> None:
         """Set the service's upstreams and the evacuated data centres."""
-        self._registrations = registrations
-        self._evacuated_data_centres = evacuated
-        for registration in registrations:
-            if (
-                registration.incarnation
-                not in self._registrations_by_incarnation
-            ):
-                self._last_registered_at = now
-            self._registrations_by_incarnation[registration.incarnation] = (
-                registration
-            )
-            self._warm_at_by_incarnation.setdefault(
-                registration.incarnation,
-                ids.Instant(now + registration.warmup_left_seconds),
-            )
+        self._holders.set_registrations(registrations, evacuated, now)
 
     def set_service_times(
         self, measurements: service_times.ServiceTimeSums
@@ -94,7 +72,7 @@
         self._service_times_by_incarnation = {
             measurement.life: measurement
             for measurement in measurements
-            if measurement.life in self._registrations_by_incarnation
+            if self._holders.has_known(measurement.life)
         }
         self._hold = hold.find_hold(
             self._config, tuple(self._service_times_by_incarnation.values())
@@ -123,7 +101,7 @@
             now + const.PLANNING_DELAY_SECONDS
         )
         self._predecessor_until = max(predecessor_until, now)
-        self._failure_detector.clear()
+        self._holders.failure_detector.clear()
         self._grants.clear()
         if self._plan is not None:
             self._apply_plan(self._plan)
@@ -198,14 +176,12 @@
     def _update_plan(self, now: ids.Instant) -> Effects:
         if now < self._planning_starts_at:
             return []
-        candidates = self._candidates(now)
+        candidates = self._holders.candidates(now)
         if not candidates:
             return []
         if self._plan is None:
-            if (
-                now
-                < self._last_registered_at + const.INITIAL_PLAN_DELAY_SECONDS
-            ):
+            registered_at = self._holders.last_registered_at
+            if now < registered_at + const.INITIAL_PLAN_DELAY_SECONDS:
                 return []
             assignments = planning.initial_assignments(candidates)
             return [self._write_plan(assignments)]
@@ -214,62 +190,17 @@
             return []
         return [self._write_plan(assignments)]
 
-    def _usable(self) -> list[upstreams.Registration]:
-        """Return the upstreams that may keep their ranges."""
-        return [
-            registration
-            for registration in self._registrations
-            if not registration.is_draining
-            and registration.data_centre not in self._evacuated_data_centres
-        ]
-
-    def _candidates(self, now: ids.Instant) -> list[upstreams.Registration]:
-        """Return the upstreams to which ranges may be assigned."""
-        responsive = [
-            registration
-            for registration in self._usable()
-            if not self._failure_detector.is_unresponsive(
-                registration.incarnation, now
-            )
-        ]
-        warm = [
-            registration
-            for registration in responsive
-            if self._warm_at_by_incarnation[registration.incarnation] <= now
-        ]
-        return warm or responsive
-
-    def _lost_incarnations(
-        self, now: ids.Instant
-    ) -> set[ids.UpstreamIncarnation]:
-        """Return the unresponsive upstreams, unless there are too many.
-
-        The leader's own network link is the more likely cause then.
-        """
-        usable = self._usable()
-        unresponsive = {
-            registration.incarnation
-            for registration in usable
-            if self._failure_detector.is_unresponsive(
-                registration.incarnation, now
-            )
-        }
-        if len(unresponsive) > len(usable) * const.MAX_UNRESPONSIVE_RATIO:
-            return set()
-        return unresponsive
-
     def _plan_assignments(
         self, candidates: list[upstreams.Registration], now: ids.Instant
     ) -> tuple[objects.Assignment, ...]:
         """Return the assignments with ended moves settled and new moves."""
-        usable = {registration.incarnation for registration in self._usable()}
-        usable -= self._lost_incarnations(now)
+        keepers = self._holders.keepers(now)
         current = [grant.assignment for grant in self._grants]
         range_counts = planning.RangeCounts(candidates, current)
         assignments = []
         for grant in self._grants:
             assignment = self._settle(grant)
-            if assignment.life not in usable and grant.can_move():
+            if assignment.life not in keepers and grant.can_move():
                 assignment = planning.moved(
                     assignment, range_counts.pick_least_loaded()
                 )
@@ -353,10 +284,10 @@
         self, grant: range_grants.RangeGrant, now: ids.Instant
     ) -> messages.GrantRange | None:
         assignment = grant.assignment
-        registration = self._registrations_by_incarnation.get(assignment.life)
+        registration = self._holders.find(assignment.life)
         if registration is None:
             return None
-        if self._failure_detector.is_unresponsive(assignment.life, now):
+        if self._holders.is_unresponsive(assignment.life, now):
             return None
         grant.next_call_at = ids.Instant(now + self._config.renew_interval)
         send_deadline = ids.Instant(now + self._config.call_timeout)
@@ -386,7 +317,7 @@
         if now >= grant.former_until:
             grant.state = GrantState.GRANTING
             return self._grant_call(grant, now)
-        former = self._registrations_by_incarnation.get(assignment.former_life)
+        former = self._holders.find(assignment.former_life)
         if former is None:
             return None
         grant.next_call_at = ids.Instant(now + const.RETRY_INTERVAL_SECONDS)
@@ -407,7 +338,9 @@
         """
         call = event.call
         incarnation = call.registration.incarnation
-        self._failure_detector.record_outcome(incarnation, event.outcome, now)
+        self._holders.failure_detector.record_outcome(
+            incarnation, event.outcome, now
+        )
         if event.outcome in failure_detector.FAILED_OUTCOMES:
             self._failed_incarnations.add(incarnation)
         for grant in range_grants.overlapping(
