--- a/dragonflyshelf/platform/records.py
+++ b/dragonflyshelf/platform/records.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import re
 from typing import Annotated, Any, Final
 
 from absl import logging
@@ -28,6 +29,22 @@
 NULL: Final = b"null"
 """Specification of an object that cannot be decoded."""
 
+ENTRY_KINDS: Final = frozenset(
+    {store.ObjectKind.EVACUATION, store.ObjectKind.REGISTRATION}
+)
+"""Kinds of short entries, of which there are many."""
+
+MAX_ENTRY_BYTES: Final = 4096
+"""Longest specification of an entry; a registration has a few hundred.
+
+An update for a follower has all entries in one frame.
+"""
+
+UPSTREAM_ID_PATTERN: Final = re.compile(
+    r"[^\x00-\x20\x7f]([^\x00-\x1f\x7f]*[^\x00-\x20\x7f])?"
+)
+"""Ids of upstreams, which a header of each request has as its value."""
+
 WHOLE_KINDS: Final = frozenset({store.ObjectKind.REGISTRATION})
 """Kinds whose specification counts only if all of the object is valid.
 
@@ -168,12 +185,7 @@
     is_usable = revision is not None and kind not in WHOLE_KINDS
     if not is_usable or _decode(spec, msgspec.Raw) is None:
         spec = NULL
-    return store.StoredObject(
-        kind=kind,
-        name=ids.ObjectName(name),
-        revision=ids.Revision(revision or default_revision),
-        spec=spec,
-    )
+    return _make_stored_object(kind, name, revision or default_revision, spec)
 
 
 def _decode_event(
@@ -212,14 +224,38 @@
 def _to_stored_object(
     kind: store.ObjectKind, record: StoreObject
 ) -> store.StoredObject:
+    metadata = record.metadata
+    return _make_stored_object(
+        kind, metadata.name, metadata.revision, bytes(record.spec)
+    )
+
+
+def _make_stored_object(
+    kind: store.ObjectKind, name: str, revision: int, spec: bytes
+) -> store.StoredObject:
+    """Return an object, without a specification that can't be used."""
+    reason = _find_reason(kind, name, spec)
+    if reason:
+        _LOGGER.warning("ignoring %s %r: %s", kind.value, name, reason)
+        spec = NULL
     return store.StoredObject(
         kind=kind,
-        name=ids.ObjectName(record.metadata.name),
-        revision=ids.Revision(record.metadata.revision),
-        spec=bytes(record.spec),
+        name=ids.ObjectName(name),
+        revision=ids.Revision(revision),
+        spec=spec,
     )
 
 
+def _find_reason(kind: store.ObjectKind, name: str, spec: bytes) -> str:
+    """Return why the specification of an entry can't be used, or ``""``."""
+    if kind in ENTRY_KINDS and len(spec) > MAX_ENTRY_BYTES:
+        return f"{len(spec)} bytes are too long"
+    is_registration = kind is store.ObjectKind.REGISTRATION
+    if is_registration and not UPSTREAM_ID_PATTERN.fullmatch(name):
+        return "a request cannot carry this id"
+    return ""
+
+
 def _to_change(stored: store.StoredObject, is_removed: bool) -> store.Change:
     if not is_removed:
         return stored
