Move the replica of the control task into a module of its own

Change: what applies changes to the replica, decodes and publishes them goes to runtime/gateway/replication.py, as the base class of the control task. Only moved; TaskInboxes moves along.

--- a/dragonflyshelf/runtime/gateway/server.py
+++ b/dragonflyshelf/runtime/gateway/server.py
@@ -18,6 +18,7 @@
 from dragonflyshelf.runtime.callers import listener
 from dragonflyshelf.runtime.gateway import control
 from dragonflyshelf.runtime.gateway import health
+from dragonflyshelf.runtime.gateway import replication
 from dragonflyshelf.runtime.gateway import router
 from dragonflyshelf.runtime.grantor import calls
 from dragonflyshelf.runtime import hangup
@@ -69,7 +70,7 @@
     relay_server_task = relay.RelayServerTask(
         control_task.inbox, router_task.inbox
     )
-    control_task.task_inboxes = control.TaskInboxes(
+    control_task.task_inboxes = replication.TaskInboxes(
         router=router_task.inbox,
         callers=listener_task.inbox,
         watch=watch_task.inbox,
--- a/tests/runtime/gateway/test_control.py
+++ b/tests/runtime/gateway/test_control.py
@@ -16,6 +16,7 @@
 from dragonflyshelf.core.scheduling import messages as scheduling
 from dragonflyshelf.core.store import messages as store
 from dragonflyshelf.runtime.gateway import control
+from dragonflyshelf.runtime.gateway import replication
 from dragonflyshelf.runtime import inbox
 from dragonflyshelf.runtime.relay import messages as relay_messages
 from stand_ins import configuration
@@ -56,7 +57,7 @@
         count=1,
     )
     task = control.ControlTask(deployment.make_settings("i1", 9), lease)
-    task.task_inboxes = control.TaskInboxes(
+    task.task_inboxes = replication.TaskInboxes(
         **{
             name: inbox.Inbox(name)
             for name in (
