Add the core of roll-outs: plan, gate, budget, judge and steps

A plan is a control object as shard plans are; update requests carry outcomes by service, route and upstream in a new field. Orders are a kind that only the leader is to read. Nothing runs it yet.

--- a/dragonflyshelf/codec/control.py
+++ b/dragonflyshelf/codec/control.py
@@ -1,4 +1,4 @@
-"""Encoding of control objects: leases and shard plans in the store.
+"""Encoding of control objects in the store: leases and plans.
 
 Every instance reads a plan at each change. To keep it small, a row is an
 array of numbers that refers to its holders by their index in a list.
@@ -14,6 +14,7 @@
 from dragonflyshelf.core.grantor import objects
 from dragonflyshelf.core import ids
 from dragonflyshelf.core import registry
+from dragonflyshelf.core.rollouts import objects as rollouts
 
 KIND_FIELD: Final = "kind"
 """Field that selects the decoder of a record."""
@@ -39,6 +40,13 @@
     lease: objects.Lease
 
 
+class RolloutRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """Stored form of a roll-out plan."""
+
+    kind: str
+    plan: rollouts.RolloutPlan
+
+
 class Holder(msgspec.Struct, frozen=True, array_like=True):
     """Incarnation of an upstream that holds ranges of a plan."""
 
@@ -108,6 +116,21 @@
     return msgspec.convert(record, LeaseRecord).lease
 
 
+@ENCODERS.register(rollouts.RolloutPlan)
+def encode_rollout(plan: rollouts.RolloutPlan) -> RolloutRecord:
+    """Return the stored form of a roll-out plan."""
+    return RolloutRecord(kind="rollout", plan=plan)
+
+
+@DECODERS.register("rollout")
+def decode_rollout(record: Any) -> rollouts.RolloutPlan:
+    """Return the roll-out plan of a parsed record.
+
+    Raises ``msgspec.ValidationError`` if the record is invalid.
+    """
+    return msgspec.convert(record, RolloutRecord).plan
+
+
 @ENCODERS.register(objects.ShardPlan)
 def encode_plan(plan: objects.ShardPlan) -> PlanRecord:
     """Return the stored form of a shard plan."""
--- a/dragonflyshelf/codec/relay.capnp
+++ b/dragonflyshelf/codec/relay.capnp
@@ -44,6 +44,16 @@
   answers @2 :Float32;
 }
 
+struct OutcomeSum {
+  service @0 :Text;
+  route @1 :Text;
+  life @2 :Text;
+  sent @3 :UInt32;
+  answers @4 :UInt32;
+  failures @5 :UInt32;
+  times @6 :List(UInt32);
+}
+
 struct Ask {
   instance @0 :Text;
   dataCentre @1 :Text;
@@ -58,6 +68,7 @@
   acceptsDeltas @10 :Bool;
   news @11 :List(Change);
   isSmall @12 :Bool;
+  outcomes @13 :List(OutcomeSum);
 }
 
 struct Change {
--- a/dragonflyshelf/core/errors.py
+++ b/dragonflyshelf/core/errors.py
@@ -199,6 +199,11 @@
     """An object in the store cannot be decoded."""
 
 
+@error_code("DS206", 400, states.Step.PLATFORM)
+class RolloutRefused(InvalidObject):
+    """The order of a roll-out can't be carried out; nothing was moved."""
+
+
 @error_code("DS310", 500, states.Step.SETTINGS)
 class BindFailed(RouterError):
     """A configured address could not be bound."""
--- a/dragonflyshelf/core/grantor/coordinator.py
+++ b/dragonflyshelf/core/grantor/coordinator.py
@@ -135,8 +135,8 @@
     ) -> None:
         if isinstance(event.value, objects.Lease):
             self.lease_manager.observe(event, now)
-            return
-        self._manager(event.value.service, now).observe(event)
+        elif isinstance(event.value, objects.ShardPlan):
+            self._manager(event.value.service, now).observe(event)
 
     @HANDLERS.register(messages.ControlWriteCompleted)
     def _on_control_write_completed(
@@ -145,8 +145,8 @@
         value = event.write.value
         if isinstance(value, objects.Lease):
             self.lease_manager.complete_write(event, now)
-            return
-        self._manager(value.service, now).complete_write(event, now)
+        elif isinstance(value, objects.ShardPlan):
+            self._manager(value.service, now).complete_write(event, now)
 
     @HANDLERS.register(messages.ServicesChanged)
     def _on_services_changed(
--- a/dragonflyshelf/core/grantor/messages.py
+++ b/dragonflyshelf/core/grantor/messages.py
@@ -5,12 +5,13 @@
 
 from dragonflyshelf.core.grantor import objects
 from dragonflyshelf.core import ids
+from dragonflyshelf.core.rollouts import objects as rollouts
 from dragonflyshelf.core.routing import objects as routing
 from dragonflyshelf.core.store import messages as store
 from dragonflyshelf.core.upstreams import messages as upstream_events
 from dragonflyshelf.core.upstreams import objects as upstreams
 
-ControlValue = objects.Lease | objects.ShardPlan
+ControlValue = objects.Lease | objects.ShardPlan | rollouts.RolloutPlan
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/dragonflyshelf/core/ids.py
+++ b/dragonflyshelf/core/ids.py
@@ -56,6 +56,9 @@
 Term = NewType("Term", int)
 """Leadership term over one upstream; increases monotonically."""
 
+UpstreamVersion = NewType("UpstreamVersion", str)
+"""Version of the software of an upstream."""
+
 UpstreamIncarnation = NewType("UpstreamIncarnation", str)
 """Identifies one start of an upstream."""
 
--- a/dragonflyshelf/core/relay/completeness.py
+++ b/dragonflyshelf/core/relay/completeness.py
@@ -51,7 +51,7 @@
         of the replica, does not make it complete.
         """
         kinds = {relayed.kind for relayed in update.kinds}
-        if kinds != watch_selector.ALL_KINDS:
+        if not kinds >= watch_selector.ALL_KINDS:
             return
         for relayed in update.kinds:
             if self._replica.by_kind(relayed.kind).revision < relayed.revision:
--- a/dragonflyshelf/core/relay/messages.py
+++ b/dragonflyshelf/core/relay/messages.py
@@ -10,6 +10,7 @@
 from dragonflyshelf.core.grantor import messages as grantor
 from dragonflyshelf.core import ids
 from dragonflyshelf.core.quota import messages as quota
+from dragonflyshelf.core.rollouts import outcomes as rollout_outcomes
 from dragonflyshelf.core.store import messages as store
 from dragonflyshelf.core.upstreams import service_times
 
@@ -40,7 +41,8 @@
     instance of an older build does not set it, ``accepts_compressed`` or
     ``accepts_deltas``. ``is_small`` is set if it should not be a relay, and
     ``news`` has the lease if the follower knows a newer one than the
-    recipient has shown.
+    recipient has shown. ``outcomes`` are those of attempts for services
+    that are rolled out, since the last request.
     """
 
     instance: ids.InstanceId
@@ -56,6 +58,7 @@
     accepts_deltas: bool = False
     news: "tuple[RelayedChange, ...]" = ()
     is_small: bool = False
+    outcomes: rollout_outcomes.OutcomeSums = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/dragonflyshelf/core/relay/watch_selector.py
+++ b/dragonflyshelf/core/relay/watch_selector.py
@@ -8,7 +8,7 @@
 from dragonflyshelf.core import settings
 from dragonflyshelf.core.store import messages as store
 
-ALL_KINDS: Final = frozenset(store.ObjectKind)
+ALL_KINDS: Final = frozenset(store.REPLICATED_KINDS)
 """Kinds watched by an instance that receives no updates."""
 
 FRESHNESS_KINDS: Final = frozenset(
--- /dev/null
+++ b/dragonflyshelf/core/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Roll-outs: moving a service's traffic to another version."""
--- /dev/null
+++ b/dragonflyshelf/core/rollouts/objects.py
@@ -0,0 +1,110 @@
+"""Orders of operators, and the plans that instances obey."""
+
+import dataclasses
+import enum
+
+from dragonflyshelf.core import ids
+
+PLAN_NAME_PREFIX = "rollout-"
+"""Prefix of a plan's object name; the name of the service follows."""
+
+
+class RolloutState(enum.Enum):
+    """State of a roll-out as operators read it."""
+
+    COMPLETE = "complete"
+    ROLLED_BACK = "rolled_back"
+    RUNNING = "running"
+
+
+class RolloutStep(enum.Enum):
+    """Step of a roll-out as instances obey it."""
+
+    WAITING = "waiting"
+    CANARY = "canary"
+    FULL = "full"
+    COMPLETED = "completed"
+    ROLLED_BACK = "rolled_back"
+
+    @property
+    def is_final(self) -> bool:
+        """Return whether no other step follows."""
+        return self in (RolloutStep.COMPLETED, RolloutStep.ROLLED_BACK)
+
+    @property
+    def state(self) -> RolloutState:
+        """Return the state that operators are told."""
+        if self is RolloutStep.COMPLETED:
+            return RolloutState.COMPLETE
+        if self is RolloutStep.ROLLED_BACK:
+            return RolloutState.ROLLED_BACK
+        return RolloutState.RUNNING
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RolloutOrder:
+    """Order to move the traffic of a service to its ``target`` version.
+
+    ``duration`` is in seconds, 0 if it is missing or invalid. ``revision``
+    changes with each status too and so does not identify the order.
+    """
+
+    name: ids.ObjectName
+    revision: ids.Revision
+    service: ids.ServiceName
+    target: ids.UpstreamVersion
+    duration: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RolloutStatus:
+    """Status of an order."""
+
+    state: RolloutState
+    target: ids.UpstreamVersion
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RolloutPlan:
+    """Step of a roll-out, and what a successor of the leader needs.
+
+    Instances send ``share`` of the requests to the ``canaries``. They send
+    none to versions in ``barred``, the targets of former orders, and after
+    the last step none to the upstreams in ``retired``. ``requests`` reached
+    the service since the order, ``spent`` of them its target, and ``rate``
+    do so each second. It ``is_closed`` once its order was removed. Times
+    are in Unix seconds.
+    """
+
+    service: ids.ServiceName
+    target: ids.UpstreamVersion
+    duration: float
+    step: RolloutStep
+    deadline: float
+    written_at: float
+    share: float = 0.0
+    canaries: tuple[ids.UpstreamIncarnation, ...] = ()
+    barred: tuple[ids.UpstreamVersion, ...] = ()
+    retired: tuple[ids.UpstreamIncarnation, ...] = ()
+    requests: float = 0.0
+    spent: float = 0.0
+    rate: float = 0.0
+    reason: str = ""
+    is_closed: bool = False
+
+    def is_for(self, order: RolloutOrder) -> bool:
+        """Return whether this is the plan of an order."""
+        return not self.is_closed and (
+            self.service,
+            self.target,
+            self.duration,
+        ) == (
+            order.service,
+            order.target,
+            order.duration,
+        )
+
+
+def plan_name(service: ids.ServiceName) -> ids.ObjectName:
+    """Return the name of the control object of a service's plan."""
+    return ids.ObjectName(f"{PLAN_NAME_PREFIX}{service}")
--- a/dragonflyshelf/core/settings.py
+++ b/dragonflyshelf/core/settings.py
@@ -15,6 +15,7 @@
 MIB = 1024 * KIB
 PORT_RANGE = ranges.Range(minimum=0, maximum=65535)
 DURATION_RANGE = ranges.Range(minimum=0.001, maximum=86400, unit="s")
+RATIO_RANGE = ranges.Range(minimum=0, maximum=1)
 
 
 class LogLevel(enum.Enum):
@@ -220,8 +221,11 @@
     A withdrawn caller key is refused after ``revoke`` seconds. An instance
     that can't reach the store is not used after ``contact`` seconds, and
     a process is killed ``grace`` seconds after SIGTERM. Upstreams accept
-    grants of at most ``hold`` seconds. Durations of other sections are
-    limited so that these hold.
+    grants of at most ``hold`` seconds. A version that is rolled out and may
+    be bad gets the fraction ``exposure_share`` of its service's requests and
+    ``exposure_slack`` more, and none ``rollback`` seconds after its 50th bad
+    response; without a share there are no roll-outs. Durations of other
+    sections are limited so that these hold.
     """
 
     apply: Annotated[float, DURATION_RANGE] = 2.0
@@ -230,6 +234,16 @@
     grace: Annotated[float, DURATION_RANGE] = 30.0
     hold: Annotated[float, DURATION_RANGE] = 10.0
     revoke: Annotated[float, DURATION_RANGE] = 5.0
+    exposure_share: Annotated[float, RATIO_RANGE] = 0.0
+    exposure_slack: Annotated[
+        float, ranges.Range(minimum=0, maximum=1000000)
+    ] = 0.0
+    rollback: Annotated[float, DURATION_RANGE] = 5.0
+
+    @property
+    def has_rollouts(self) -> bool:
+        """Return whether operators may order roll-outs."""
+        return self.exposure_share > 0
 
     @property
     def change(self) -> float:
@@ -237,6 +251,34 @@
         return min(self.apply, self.drain)
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RolloutSettings:
+    """Section ``rollouts``: how a new version of a service is judged.
+
+    Instances send the share of a plan to the new version for ``term``
+    seconds after the plan was confirmed. The canary step takes the fraction
+    ``canary_ratio`` of the roll-out's duration, and at least
+    ``min_responses`` of the new version, at most ``max_share`` of the
+    requests. The version is bad if what it did would occur by chance with a
+    probability under ``certainty``, at the end of the step under ``doubt``.
+    Failures are normal up to ``normal_failures`` of the requests, and so are
+    responses ``slow_factor`` times slower than those of the present version
+    up to ``normal_slow``. The roll-out is completed ``drained`` seconds after
+    the last response of the present version.
+    """
+
+    term: Annotated[float, DURATION_RANGE] = 2.0
+    canary_ratio: Annotated[float, RATIO_RANGE] = 0.3
+    min_responses: Annotated[int, ranges.Range(minimum=1, maximum=100000)] = 50
+    max_share: Annotated[float, RATIO_RANGE] = 0.25
+    certainty: Annotated[float, RATIO_RANGE] = 0.00003
+    doubt: Annotated[float, RATIO_RANGE] = 0.005
+    normal_failures: Annotated[float, RATIO_RANGE] = 0.01
+    normal_slow: Annotated[float, RATIO_RANGE] = 0.05
+    slow_factor: Annotated[float, ranges.Range(minimum=1, maximum=100)] = 2.5
+    drained: Annotated[float, DURATION_RANGE] = 0.9
+
+
 RELOADABLE_SECTIONS: Final = ("freshness", "log", "requests", "retries")
 """Sections that can be changed without a restart."""
 
@@ -254,6 +296,7 @@
     promises: PromiseSettings = PromiseSettings()
     requests: RequestSettings = RequestSettings()
     retries: RetrySettings = RetrySettings()
+    rollouts: RolloutSettings = RolloutSettings()
     shutdown: ShutdownSettings = ShutdownSettings()
     store: StoreSettings = StoreSettings()
     upstreams: UpstreamSettings = UpstreamSettings()
--- a/dragonflyshelf/core/store/messages.py
+++ b/dragonflyshelf/core/store/messages.py
@@ -2,18 +2,30 @@
 
 import dataclasses
 import enum
+from typing import Final
 
 from dragonflyshelf.core import errors
 from dragonflyshelf.core import ids
 
 
 class ObjectKind(enum.Enum):
-    """Kinds of objects that an instance replicates."""
+    """Kinds of objects that an instance reads."""
 
     CONFIGURATION = "configuration"
     CONTROL = "control"
     EVACUATION = "evacuation"
     REGISTRATION = "registration"
+    ROLLOUT = "rollout"
+
+
+REPLICATED_KINDS: Final = tuple(
+    kind for kind in ObjectKind if kind is not ObjectKind.ROLLOUT
+)
+"""Kinds that every instance replicates.
+
+Only the leader reads the orders of roll-outs; what the others need to know
+of them is in control objects.
+"""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/dragonflyshelf/core/upstreams/objects.py
+++ b/dragonflyshelf/core/upstreams/objects.py
@@ -11,7 +11,8 @@
 
     ``started_at_ms`` is the Unix time of its start in milliseconds. An
     upstream that restarts under the same id is another holder of shards.
-    ``warmup_left_seconds`` is the rest of its warm-up.
+    ``warmup_left_seconds`` is the rest of its warm-up, and ``version`` that
+    of its software, empty if it does not say.
     """
 
     id: ids.UpstreamId
@@ -23,6 +24,7 @@
     is_draining: bool
     warmup_left_seconds: float
     started_at_ms: int
+    version: ids.UpstreamVersion = ids.UpstreamVersion("")
 
     @property
     def incarnation(self) -> ids.UpstreamIncarnation:
--- a/dragonflyshelf/runtime/gateway/relay_coordinator.py
+++ b/dragonflyshelf/runtime/gateway/relay_coordinator.py
@@ -23,6 +23,7 @@
 from dragonflyshelf.core.relay import messages as relay
 from dragonflyshelf.core.relay import relay_selector
 from dragonflyshelf.core.relay import updates
+from dragonflyshelf.core.rollouts import outcomes
 from dragonflyshelf.core.routing import objects as routing
 from dragonflyshelf.core import settings
 from dragonflyshelf.core.slots import messages as slots
@@ -66,6 +67,7 @@
         self._shown_revision = ids.Revision(0)
         self._requested_at_by_number: dict[int, ids.Instant] = {}
         self._service_time_tally = service_times.ServiceTimeTally()
+        self._outcome_tally = outcomes.OutcomeTally()
         self.allocator = allocator.TokenAllocator()
         self.completeness = completeness.Completeness(store_replica)
         self.followers = followers.Followers(config.instance, store_replica)
@@ -152,6 +154,7 @@
         self,
         loads: tuple[grantor.RangeLoad, ...],
         service_time_sums: service_times.ServiceTimeSums,
+        outcome_sums: outcomes.OutcomeSums,
         now: ids.Instant,
     ) -> None:
         """Request updates from the update source, a leader or relay.
@@ -159,6 +162,7 @@
         ``loads`` and ``service_time_sums`` are empty if no report is due.
         """
         self._service_time_tally.add(service_time_sums)
+        self._outcome_tally.add(outcome_sums)
         if loads:
             loads = self.followers.aggregate_loads(loads, now)
         self._post_to_client(
@@ -166,6 +170,7 @@
                 self._make_request(now),
                 loads=loads,
                 paces=self._service_time_tally.take_report(),
+                outcomes=self._outcome_tally.take_report(),
             )
         )
 
@@ -186,7 +191,7 @@
                     kind=kind,
                     revision=self._replica.by_kind(kind).revision,
                 )
-                for kind in store.ObjectKind
+                for kind in store.REPLICATED_KINDS
             ),
             loads=(),
             members=self.followers.members(now),
@@ -248,6 +253,7 @@
         """Record a follower's update request and respond to it."""
         if not is_leading:
             self._service_time_tally.add(message.request.paces)
+            self._outcome_tally.add(message.request.outcomes)
         self.followers.record_request(message.reply_to, message.request, now)
         self.send_update(message.reply_to, is_leading, now)
 
