Run roll-outs: orders, plans, shares and statuses

Cause: the core of roll-outs was not connected.

Change: the leader watches the kind of the orders where the deployment promises an exposure, decodes them (platform/rollouts.py) and writes their status under the revision seen. Instances keep to the plan: upstreams of the target get only the share, retries and assigned slots none. Outcomes go with each update request, summed up by relays.

--- a/dragonflyshelf/core/scheduling/coordinator.py
+++ b/dragonflyshelf/core/scheduling/coordinator.py
@@ -9,6 +9,7 @@
 from dragonflyshelf.core.quota import limiter
 from dragonflyshelf.core.quota import messages as quota
 from dragonflyshelf.core import registry
+from dragonflyshelf.core.rollouts import outcomes
 from dragonflyshelf.core.routing import split
 from dragonflyshelf.core.routing import table
 from dragonflyshelf.core.scheduling import admission
@@ -52,13 +53,14 @@
         self.configuration_confirmed_at = ids.Instant(float("-inf"))
         self.token_queue = admission.TokenQueue()
         self.retry_budget = budget.RetryBudget(config.retries)
-        self.fleet = fleet.Fleet(config.instance)
+        self.fleet = fleet.Fleet(config)
         self.dispatcher = dispatcher.RequestDispatcher(self.fleet)
         self._slot_broker = broker.SlotBroker(self.fleet)
         self._slot_placement = slot_placement.SlotPlacement(self.fleet)
         self._retry_policy = retries.RetryPolicy(config, self.retry_budget)
         self.shard_loads = loads.ShardLoads()
         self.service_times = service_times.ServiceTimeTally()
+        self.outcomes = outcomes.OutcomeTally()
         self._traffic_split = split.WeightedSplit(config.instance.name)
         self.exchanges_by_id: dict[ids.ExchangeId, exchanges.Exchange] = {}
         self._deadline_heap: list[tuple[ids.Instant, ids.ExchangeId]] = []
@@ -98,6 +100,7 @@
     ) -> Effects:
         """Count an admitted request and queue it for dispatch."""
         self.retry_budget.record_request(exchange.service, now)
+        self.fleet.versions.count_request(exchange.service)
         key = exchange.head.shard_key
         if key is not None and self.fleet.is_sharded(exchange.service):
             self.shard_loads.record_request(exchange.service, key)
@@ -247,6 +250,7 @@
             self.service_times.record_response(
                 incarnation, upstream.normalized_service_time(seconds, now)
             )
+        self._record_outcome(exchange, event.result, now)
         exchange.upstream = None
         exchange.phase = Phase.DONE
         effects: Effects = [
@@ -258,6 +262,27 @@
             effects.extend(self._on_attempt_failed(exchange, event, now))
         return [*effects, *self._dispatch_queued(exchange.service, now)]
 
+    def _record_outcome(
+        self,
+        exchange: exchanges.Exchange,
+        result: state.AttemptResult,
+        now: ids.Instant,
+    ) -> None:
+        """Count the end of an attempt if its service is rolled out."""
+        upstream = exchange.upstream
+        if upstream is None:
+            return
+        if not self.fleet.versions.is_counted(exchange.service):
+            return
+        seconds = now - exchange.attempt_started_at
+        self.outcomes.record_result(
+            exchange.service,
+            exchange.match.route.name,
+            upstream.registration.incarnation,
+            result,
+            upstream.normalized_service_time(seconds, now),
+        )
+
     def _on_attempt_failed(
         self,
         exchange: exchanges.Exchange,
@@ -338,6 +363,12 @@
         withhold = self._retry_policy.may_retry_after_failure(exchange, now)
         upstream.start()
         self.fleet.record_attempt(upstream, now)
+        if self.fleet.versions.is_counted(exchange.service):
+            self.outcomes.record_sent(
+                exchange.service,
+                exchange.match.route.name,
+                registration.incarnation,
+            )
         exchange.phase = Phase.IN_FLIGHT
         exchange.upstream = upstream
         exchange.attempt_started_at = now
@@ -400,8 +431,9 @@
             None,
             now,
         )
-        exchange.upstream = None
         result = state.AttemptResult.CANCELLED
+        self._record_outcome(exchange, result, now)
+        exchange.upstream = None
         return [
             messages.CancelAttempt(exchange=exchange.id),
             *self._slot_placement.report(exchange, result, None, now),
@@ -539,6 +571,31 @@
         self.fleet.service_state(event.plan.service).plan = event.plan
         return self._requeue_waiting(now)
 
+    @HANDLERS.register(messages.RolloutPlanChanged)
+    def _on_rollout_plan_changed(
+        self, event: messages.RolloutPlanChanged, now: ids.Instant
+    ) -> Effects:
+        """Apply a plan; what waits for an excluded upstream goes elsewhere."""
+        versions = self.fleet.versions
+        versions.set_plan(event.plan)
+        service = self.fleet.service_state(event.plan.service)
+        returned: Effects = [
+            messages.ReturnUnsent(incarnation=incarnation)
+            for incarnation, upstream in (
+                service.upstreams_by_incarnation.items()
+            )
+            if versions.excludes(upstream.registration)
+            and incarnation not in event.plan.canaries
+        ]
+        return [*returned, *self._requeue_waiting(now)]
+
+    @HANDLERS.register(messages.PlansConfirmed)
+    def _on_plans_confirmed(
+        self, event: messages.PlansConfirmed, now: ids.Instant
+    ) -> Effects:
+        self.fleet.versions.confirm(event.confirmed_at)
+        return []
+
     @HANDLERS.register(messages.InstancesChanged)
     def _on_instances_changed(
         self, event: messages.InstancesChanged, now: ids.Instant
--- a/dragonflyshelf/core/scheduling/dispatcher.py
+++ b/dragonflyshelf/core/scheduling/dispatcher.py
@@ -181,19 +181,41 @@
                 return
             exchange_id = service.queue.pop().exchange
             exchange = self._exchanges_by_id.pop(exchange_id)
-            untried = [
-                upstream
-                for upstream in available
-                if upstream.registration.id not in exchange.tried_upstreams
-            ]
-            candidates = untried or available
-            if exchange.is_local_full:
-                candidates = self._fleet.remote(candidates) or candidates
+            candidates = self._take_canaries(exchange, now)
+            if not candidates:
+                candidates = self._select_candidates(exchange, available)
             objective = exchange.match.route.latency_objective
             yield exchange_id, self._fleet.choose(
                 service, candidates, objective, now
             )
 
+    def _take_canaries(
+        self, exchange: exchanges.Exchange, now: ids.Instant
+    ) -> list[state.UpstreamState]:
+        """Return the canaries if a request is to go to one, and count it."""
+        if exchange.attempt_count:
+            return []
+        canaries = self._fleet.due_canaries(exchange.service, now)
+        if canaries:
+            self._fleet.versions.take(exchange.service)
+        return canaries
+
+    def _select_candidates(
+        self,
+        exchange: exchanges.Exchange,
+        available: list[state.UpstreamState],
+    ) -> list[state.UpstreamState]:
+        """Return the available upstreams that suit a request best."""
+        untried = [
+            upstream
+            for upstream in available
+            if upstream.registration.id not in exchange.tried_upstreams
+        ]
+        candidates = untried or available
+        if exchange.is_local_full:
+            candidates = self._fleet.remote(candidates) or candidates
+        return candidates
+
     def _pop(self, target_queue: queue.FairQueue) -> ids.ExchangeId:
         entry = target_queue.pop()
         del self._exchanges_by_id[entry.exchange]
--- a/dragonflyshelf/core/scheduling/fleet.py
+++ b/dragonflyshelf/core/scheduling/fleet.py
@@ -3,6 +3,7 @@
 from collections import abc
 
 from dragonflyshelf.core import ids
+from dragonflyshelf.core.rollouts import gate
 from dragonflyshelf.core.routing import objects as routing
 from dragonflyshelf.core.scheduling import service as services
 from dragonflyshelf.core import settings
@@ -16,10 +17,11 @@
 class Fleet:
     """State of all services and upstreams, and their eligibility."""
 
-    def __init__(self, instance: settings.InstanceSettings) -> None:
+    def __init__(self, config: settings.Settings) -> None:
         """Create a fleet without upstreams."""
-        self._data_centre = instance.data_centre
-        self.ramp = ramp.WarmupRamp(instance.name)
+        self._data_centre = config.instance.data_centre
+        self.ramp = ramp.WarmupRamp(config.instance.name)
+        self.versions = gate.VersionGate(config)
         self.notices = notices.UpstreamNotices()
         self._states_by_service: dict[
             ids.ServiceName, services.ServiceState
@@ -115,7 +117,16 @@
                     )
 
     def is_usable(self, upstream: state.UpstreamState) -> bool:
-        """Return whether an upstream may receive new requests."""
+        """Return whether an upstream may receive new requests.
+
+        Canaries of a roll-out may not: they get those of its share only.
+        """
+        if self.versions.excludes(upstream.registration):
+            return False
+        return self._is_in_service(upstream)
+
+    def _is_in_service(self, upstream: state.UpstreamState) -> bool:
+        """Return whether an upstream neither leaves nor is evacuated."""
         registration = upstream.registration
         if registration.is_draining:
             return False
@@ -157,6 +168,25 @@
         upstreams = self.service_state(name).upstreams_by_incarnation.values()
         return [upstream for upstream in upstreams if self.is_usable(upstream)]
 
+    def due_canaries(
+        self, name: ids.ServiceName, now: ids.Instant
+    ) -> list[state.UpstreamState]:
+        """Return the canaries that may get the next request of a service.
+
+        There are none unless the share of the roll-out calls for it.
+        """
+        upstreams = self.service_state(name).upstreams_by_incarnation
+        canaries = [
+            upstreams[incarnation]
+            for incarnation in self.versions.canaries(name, now)
+            if incarnation in upstreams
+        ]
+        return [
+            canary
+            for canary in canaries
+            if self._is_in_service(canary) and self.can_accept(canary, now)
+        ]
+
     def choose(
         self,
         service: services.ServiceState,
--- a/dragonflyshelf/core/scheduling/messages.py
+++ b/dragonflyshelf/core/scheduling/messages.py
@@ -7,6 +7,7 @@
 from dragonflyshelf.core import ids
 from dragonflyshelf.core import messages
 from dragonflyshelf.core.quota import messages as quota
+from dragonflyshelf.core.rollouts import objects as rollouts
 from dragonflyshelf.core.routing import objects as routing
 from dragonflyshelf.core import settings
 from dragonflyshelf.core.slots import messages as slots
@@ -61,6 +62,20 @@
     plan: grantor.ShardPlan
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RolloutPlanChanged:
+    """The roll-out plan of a service has changed."""
+
+    plan: rollouts.RolloutPlan
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class PlansConfirmed:
+    """The plans were confirmed to be current at an instant."""
+
+    confirmed_at: ids.Instant
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class ConfigurationConfirmed:
     """The configuration was confirmed to be current at an instant."""
@@ -137,8 +152,10 @@
     | slots.BrokerChanged
     | ExchangeFinished
     | InstancesChanged
+    | PlansConfirmed
     | upstream_events.RegistrationsChanged
     | RequestArrived
+    | RolloutPlanChanged
     | settings.SettingsChanged
     | slots.SlotAssignment
     | slots.SlotReported
--- a/dragonflyshelf/core/scheduling/slot_placement.py
+++ b/dragonflyshelf/core/scheduling/slot_placement.py
@@ -22,10 +22,13 @@
     ) -> bool:
         """Return whether the upstream of a request is to be assigned.
 
-        Those of a divided service follow from its key.
+        Those of a divided service follow from its key, and a canary is
+        chosen here.
         """
         if self._fleet.is_sharded(exchange.service):
             return False
+        if self._fleet.due_canaries(exchange.service, now):
+            return False
         return self.client.may_request(now)
 
     def request(
--- a/dragonflyshelf/core/timeline/explanation.py
+++ b/dragonflyshelf/core/timeline/explanation.py
@@ -17,6 +17,7 @@
     "leadership ",
     "plan of ",
     "relay at ",
+    "rollout of ",
     "settings reloaded",
     "store lost",
     "store regained",
--- a/dragonflyshelf/platform/names.py
+++ b/dragonflyshelf/platform/names.py
@@ -34,6 +34,7 @@
     store.ObjectKind.CONTROL: f"{PATH_OBJECTS}/dragonflyshelf",
     store.ObjectKind.EVACUATION: f"{PATH_OBJECTS}/evacuations",
     store.ObjectKind.REGISTRATION: f"{PATH_OBJECTS}/servers",
+    store.ObjectKind.ROLLOUT: f"{PATH_OBJECTS}/rollouts",
 }
 
 MAIN_CONFIGURATION_NAME: Final = "main"
--- a/dragonflyshelf/platform/objects.py
+++ b/dragonflyshelf/platform/objects.py
@@ -139,6 +139,7 @@
     warmup_left_s: Annotated[
         float, msgspec.Meta(ge=0, le=MAX_WARMUP_SECONDS)
     ] = 0.0
+    version: str = ""
     born: Annotated[int, msgspec.Meta(ge=0, le=MAX_START_MS)] = msgspec.field(
         name="born", default=0
     )
@@ -191,6 +192,7 @@
             is_draining=record.state == STATE_DRAINING,
             warmup_left_seconds=record.warmup_left_s,
             started_at_ms=record.born,
+            version=ids.UpstreamVersion(record.version),
         )
     except DECODING_ERRORS as error:
         raise errors.InvalidObject(f"{stored.name}: {error}") from error
--- a/dragonflyshelf/platform/store.py
+++ b/dragonflyshelf/platform/store.py
@@ -14,9 +14,11 @@
 from dragonflyshelf.core import errors
 from dragonflyshelf.core.grantor import messages as grantor
 from dragonflyshelf.core import ids
+from dragonflyshelf.core.rollouts import messages as rollouts
 from dragonflyshelf.core import settings
 from dragonflyshelf.core.store import messages as store
 from dragonflyshelf.platform import names
+from dragonflyshelf.platform import rollouts as orders
 from dragonflyshelf.runtime import http_client
 
 _LOGGER = logging.get_absl_logger()
@@ -166,6 +168,25 @@
         )
         return _complete_write(write, response, sent_at)
 
+    async def async_write_status(
+        self, write: rollouts.WriteStatus
+    ) -> rollouts.StatusWriteCompleted:
+        """Replace the status of an order of the expected revision.
+
+        Raises ``PlatformUnavailable`` without a response, as the outcome
+        is unknown then, or for an unexpected status.
+        """
+        path = names.PATHS_BY_KIND[store.ObjectKind.ROLLOUT]
+        response = await self._async_call(
+            "PUT",
+            f"{path}/{write.name}/status",
+            write.timeout,
+            orders.encode_status(write),
+        )
+        return rollouts.StatusWriteCompleted(
+            write=write, outcome=_find_outcome(response.status)
+        )
+
     async def _async_get(
         self, path: str, wait: float = 0.0
     ) -> http_client.HttpResponse:
@@ -251,31 +272,25 @@
     response: http_client.HttpResponse,
     sent_at: ids.Instant,
 ) -> grantor.ControlWriteCompleted:
-    if response.status in NOT_EXECUTED_STATUSES:
-        return _make_completion(write, store.WriteOutcome.FAILED, sent_at)
-    if response.status in OK_STATUSES:
+    outcome = _find_outcome(response.status)
+    current = None
+    if outcome is not store.WriteOutcome.FAILED:
         current = _decode_current(response.body)
-        return _make_completion(
-            write, store.WriteOutcome.DONE, sent_at, current
-        )
-    if response.status in CONFLICT_STATUSES:
-        current = _decode_current(response.body)
-        return _make_completion(
-            write, store.WriteOutcome.CONFLICT, sent_at, current
-        )
-    raise errors.PlatformUnavailable(
-        f"the store responded to a write with status {response.status}"
+    return grantor.ControlWriteCompleted(
+        write=write, outcome=outcome, sent_at=sent_at, current=current
     )
 
 
-def _make_completion(
-    write: grantor.WriteControl,
-    outcome: store.WriteOutcome,
-    sent_at: ids.Instant,
-    current: grantor.ControlObserved | None = None,
-) -> grantor.ControlWriteCompleted:
-    return grantor.ControlWriteCompleted(
-        write=write, outcome=outcome, sent_at=sent_at, current=current
+def _find_outcome(status: int) -> store.WriteOutcome:
+    """Return the outcome of a conditional write by its response's status."""
+    if status in NOT_EXECUTED_STATUSES:
+        return store.WriteOutcome.FAILED
+    if status in OK_STATUSES:
+        return store.WriteOutcome.DONE
+    if status in CONFLICT_STATUSES:
+        return store.WriteOutcome.CONFLICT
+    raise errors.PlatformUnavailable(
+        f"the store responded to a write with status {status}"
     )
 
 
--- a/dragonflyshelf/runtime/gateway/control.py
+++ b/dragonflyshelf/runtime/gateway/control.py
@@ -21,6 +21,9 @@
 from dragonflyshelf.core import registry
 from dragonflyshelf.core.relay import messages as relay
 from dragonflyshelf.core.relay import watch_selector
+from dragonflyshelf.core.rollouts import messages as rollout_messages
+from dragonflyshelf.core.rollouts import objects as rollouts
+from dragonflyshelf.core.rollouts import outcomes
 from dragonflyshelf.core.scheduling import messages as scheduling
 from dragonflyshelf.core import settings
 from dragonflyshelf.core import stagger
@@ -29,6 +32,7 @@
 from dragonflyshelf.core.upstreams import service_times
 from dragonflyshelf.runtime.gateway import diagnostics
 from dragonflyshelf.runtime.gateway import replication
+from dragonflyshelf.runtime.gateway import rollout_runner
 from dragonflyshelf.runtime.gateway import router
 from dragonflyshelf.runtime.relay import messages as relay_messages
 from dragonflyshelf.runtime.store import messages as store_messages
@@ -73,6 +77,7 @@
         self._grantor = grantor_coordinator.GrantorCoordinator(
             config, own_lease
         )
+        self._rollout_runner = rollout_runner.RolloutRunner(config)
         self._watch_selector = watch_selector.WatchSelector(
             config.leadership,
             config.promises,
@@ -85,6 +90,7 @@
         self._service_times = service_times.DecayingServiceTimes()
         self._tick_monitor = diagnostics.TickMonitor(TICK_INTERVAL_SECONDS)
         self._leader_log = diagnostics.LeaderLog()
+        self._rollout_log = diagnostics.RolloutLog()
 
     @property
     def is_leading(self) -> bool:
@@ -95,6 +101,7 @@
         """Connect the relay coordinator and start the periodic tick."""
         self._relay_coordinator.router = self._inboxes.router
         self._relay_coordinator.client = self._inboxes.relay
+        self._rollout_runner.write = self._inboxes.write
         self._watch_selector.start(self.now)
         self.inbox.post(Tick())
 
@@ -105,6 +112,9 @@
         self._handle_event(grantor.TimePassed())
         self._relay_coordinator.check_relay(self.configuration_age, self.now)
         self._relay_coordinator.resolve_overdue_tokens(self.now)
+        self._rollout_runner.advance(
+            self._replica.by_kind(Kind.ROLLOUT).confirmed_at, self.now
+        )
         self._update_watches()
         self._request_updates_if_due()
         if self.is_leading:
@@ -112,7 +122,7 @@
 
     def _record_lateness(self) -> None:
         self._tick_monitor.record(len(self.inbox), self.now)
-        for kind in Kind:
+        for kind in store.REPLICATED_KINDS:
             diagnostics.CONFIRMATION_AGE.labels(kind.value).set(
                 self._age(kind)
             )
@@ -131,6 +141,15 @@
             self._inboxes.router.post(
                 scheduling.AssignmentsChanged(plan=value)
             )
+        if isinstance(value, rollouts.RolloutPlan):
+            self._rollout_log.record(
+                value,
+                self._source_by_kind[Kind.CONTROL],
+                self._age(Kind.CONTROL),
+            )
+            self._inboxes.router.post(
+                scheduling.RolloutPlanChanged(plan=value)
+            )
         self._handle_event(
             grantor.ControlObserved(
                 name=change.name, revision=change.revision, value=value
@@ -147,7 +166,21 @@
             ):
                 self._next_request_at = self.now
 
+    def _handle_orders(
+        self, orders: tuple[rollouts.RolloutOrder, ...]
+    ) -> None:
+        self._rollout_runner.handle(
+            rollout_messages.OrdersChanged(orders=orders), self.now
+        )
+
+    @task.handles(rollout_messages.StatusWriteCompleted)
+    def _on_status_write_completed(
+        self, message: rollout_messages.StatusWriteCompleted
+    ) -> None:
+        self._rollout_runner.handle(message, self.now)
+
     def _handle_event(self, event: grantor.Event) -> None:
+        self._rollout_runner.handle(event, self.now)
         for effect in self._grantor.handle(event, self.now):
             EFFECT_HANDLERS.get(type(effect))(self, effect)
 
@@ -233,6 +266,7 @@
         _LOGGER.info(
             "leadership %s", "taken" if effect.is_leading else "ended"
         )
+        self._rollout_runner.handle(effect, self.now)
         if effect.is_leading:
             self._relay_coordinator.followers.assume_alive(
                 self._instances, self.now
@@ -255,6 +289,8 @@
             complete_age=self.now - complete_at,
         )
         kinds = self._watch_selector.select_kinds(state, self.now)
+        if self.is_leading and self._config.promises.has_rollouts:
+            kinds |= {Kind.ROLLOUT}
         if kinds == self._watched_kinds:
             return
         self._watched_kinds = kinds
@@ -301,7 +337,10 @@
             self._apply_own_load(message)
             return
         self._relay_coordinator.request_updates(
-            message.loads, message.service_time_sums, self.now
+            message.loads,
+            message.service_time_sums,
+            message.outcomes,
+            self.now,
         )
 
     @task.handles(relay_messages.UpdateReceived)
@@ -373,6 +412,7 @@
         if self.is_leading:
             self._report_loads(message.request.instance, message.request.loads)
             self._service_times.add(message.request.paces, self.now)
+            self._report_outcomes(message.request.outcomes)
 
     def _apply_news(self, change: relay.RelayedChange) -> None:
         """Apply the lease that a follower has read in the store.
@@ -400,6 +440,12 @@
                 grantor.LoadReported(instance=instance, loads=loads)
             )
 
+    def _report_outcomes(self, sums: outcomes.OutcomeSums) -> None:
+        if sums:
+            self._rollout_runner.handle(
+                rollout_messages.OutcomesReported(sums=sums), self.now
+            )
+
     @task.handles(relay_messages.UpdateNotSent)
     def _on_update_not_sent(
         self, message: relay_messages.UpdateNotSent
@@ -436,6 +482,7 @@
         )
         self._report_loads(self._own_lease.holder, reply.loads)
         self._service_times.add(reply.service_time_sums, self.now)
+        self._report_outcomes(reply.outcomes)
         sums = self._service_times.snapshot(self.now)
         self._handle_event(upstream_events.ServiceTimesChanged(sums=sums))
         self._publish_instances(instances)
--- a/dragonflyshelf/runtime/gateway/decoding.py
+++ b/dragonflyshelf/runtime/gateway/decoding.py
@@ -12,6 +12,8 @@
 from dragonflyshelf.core.store import messages as store
 from dragonflyshelf.platform import names
 from dragonflyshelf.platform import objects
+from dragonflyshelf.platform import rollouts
+from dragonflyshelf.runtime import logs
 
 _LOGGER = logging.get_absl_logger()
 
@@ -34,7 +36,7 @@
 
 @DECODERS.register(store.ObjectKind.CONTROL)
 def decode_control(stored: store.StoredObject) -> Any:
-    """Decode a control object: a lease or a shard plan."""
+    """Decode a control object: a lease or a plan."""
     return control.decode(stored.spec)
 
 
@@ -50,6 +52,12 @@
     return objects.decode_registration(stored)
 
 
+@DECODERS.register(store.ObjectKind.ROLLOUT)
+def decode_rollout(stored: store.StoredObject) -> Any:
+    """Decode the order of a roll-out."""
+    return rollouts.decode_order(stored)
+
+
 class DecodedObjects:
     """Decoded values by kind and name."""
 
@@ -77,5 +85,8 @@
             values[change.name] = DECODERS.get(change.kind)(change)
         except errors.InvalidObject as error:
             _LOGGER.warning(
-                "ignoring invalid object %s: %s", change.name, error.message
+                "ignoring invalid object %s: %s",
+                change.name,
+                error.message,
+                extra=logs.error_fields(error),
             )
--- a/dragonflyshelf/runtime/gateway/diagnostics.py
+++ b/dragonflyshelf/runtime/gateway/diagnostics.py
@@ -14,6 +14,7 @@
 
 from dragonflyshelf.core.grantor import objects as grantor
 from dragonflyshelf.core import ids
+from dragonflyshelf.core.rollouts import objects as rollouts
 from dragonflyshelf.core.routing import objects as routing
 from dragonflyshelf.core.upstreams import objects as upstreams
 
@@ -108,6 +109,34 @@
         )
 
 
+class RolloutLog:
+    """Logs each step of a roll-out as this instance observes it."""
+
+    def __init__(self) -> None:
+        """Create a log that knows no roll-out."""
+        self._step_by_service: dict[
+            ids.ServiceName,
+            tuple[ids.UpstreamVersion, rollouts.RolloutStep],
+        ] = {}
+
+    def record(
+        self, plan: rollouts.RolloutPlan, source: Source, age: float
+    ) -> None:
+        """Record a plan; ``age`` is the time since it was confirmed."""
+        step = (plan.target, plan.step)
+        if step == self._step_by_service.get(plan.service):
+            return
+        self._step_by_service[plan.service] = step
+        _LOGGER.info(
+            "rollout of %s to %s: %s in force, %s",
+            plan.service,
+            plan.target,
+            plan.step.value,
+            plan.reason,
+            extra={"source": source.value, "age": round(age, 3)},
+        )
+
+
 class UpstreamLog:
     """Logs the upstreams that begin to leave or are gone."""
 
--- a/dragonflyshelf/runtime/gateway/replication.py
+++ b/dragonflyshelf/runtime/gateway/replication.py
@@ -16,6 +16,7 @@
 from dragonflyshelf.core.grantor import objects as grantor_objects
 from dragonflyshelf.core import ids
 from dragonflyshelf.core import registry
+from dragonflyshelf.core.rollouts import objects as rollouts
 from dragonflyshelf.core.routing import objects as routing
 from dragonflyshelf.core.scheduling import messages as scheduling
 from dragonflyshelf.core import settings
@@ -92,7 +93,13 @@
         raise NotImplementedError
 
     def _handle_event(self, event: grantor.Event) -> None:
-        """Have the grantor core process an event."""
+        """Have the cores of the leader process an event."""
+        raise NotImplementedError
+
+    def _handle_orders(
+        self, orders: tuple[rollouts.RolloutOrder, ...]
+    ) -> None:
+        """Process the orders of roll-outs."""
         raise NotImplementedError
 
     @property
@@ -193,6 +200,7 @@
         self._unpublished_by_kind = {}
         for kind, changes_by_name in unpublished_by_kind.items():
             if kind is Kind.CONTROL:
+                self._confirm(kind)
                 continue
             for change in changes_by_name.values():
                 self._decoded_objects.apply(change)
@@ -200,10 +208,19 @@
             self._confirm(kind)
 
     def _confirm(self, kind: Kind) -> None:
-        """Publish when the configuration was confirmed, if it is in force."""
+        """Publish when configuration or plans were confirmed.
+
+        They are in force by then.
+        """
+        kind_replica = self._replica.by_kind(kind)
+        if kind is Kind.CONTROL and self._config.promises.has_rollouts:
+            self._inboxes.router.post(
+                scheduling.PlansConfirmed(
+                    confirmed_at=kind_replica.confirmed_at
+                )
+            )
         if kind is not Kind.CONFIGURATION:
             return
-        kind_replica = self._replica.by_kind(kind)
         self._inboxes.router.post(
             scheduling.ConfigurationConfirmed(
                 confirmed_at=kind_replica.confirmed_at
@@ -270,6 +287,10 @@
         self._inboxes.router.post(event)
         self._handle_event(event)
 
+    @PUBLISHERS.register(Kind.ROLLOUT)
+    def _publish_rollouts(self) -> None:
+        self._handle_orders(self._decoded_objects.values(Kind.ROLLOUT))
+
     @PUBLISHERS.register(Kind.EVACUATION)
     def _publish_evacuations(self) -> None:
         data_centres = frozenset(self._decoded_objects.values(Kind.EVACUATION))
--- a/dragonflyshelf/runtime/gateway/router.py
+++ b/dragonflyshelf/runtime/gateway/router.py
@@ -15,6 +15,7 @@
 from dragonflyshelf.core import messages
 from dragonflyshelf.core.quota import messages as quota
 from dragonflyshelf.core import registry
+from dragonflyshelf.core.rollouts import outcomes as rollout_outcomes
 from dragonflyshelf.core.scheduling import coordinator
 from dragonflyshelf.core.scheduling import messages as scheduling
 from dragonflyshelf.core import settings
@@ -47,7 +48,8 @@
 class LoadRequest:
     """Request of the control task for the load to be reported.
 
-    The reply is empty unless ``include_measurements`` is set.
+    The reply has no loads and service times unless ``include_measurements``
+    is set.
     """
 
     reply_to: inbox.Inbox
@@ -56,10 +58,14 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class LoadReply:
-    """Loads of key buckets and service times since the last report."""
+    """Measurements since the last report: loads, service times, outcomes.
+
+    Outcomes of roll-outs are in each reply.
+    """
 
     loads: tuple[grantor.RangeLoad, ...] = ()
     service_time_sums: service_times.ServiceTimeSums = ()
+    outcomes: rollout_outcomes.OutcomeSums = ()
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -231,6 +237,16 @@
     ) -> None:
         self._handle_event(message)
 
+    @task.handles(scheduling.RolloutPlanChanged)
+    def _on_rollout_plan_changed(
+        self, message: scheduling.RolloutPlanChanged
+    ) -> None:
+        self._handle_event(message)
+
+    @task.handles(scheduling.PlansConfirmed)
+    def _on_plans_confirmed(self, message: scheduling.PlansConfirmed) -> None:
+        self._handle_event(message)
+
     @task.handles(scheduling.InstancesChanged)
     def _on_instances_changed(
         self, message: scheduling.InstancesChanged
@@ -260,9 +276,10 @@
     @task.handles(LoadRequest)
     def _on_load_request(self, message: LoadRequest) -> None:
         core = self._core
-        reply = LoadReply()
+        reply = LoadReply(outcomes=core.outcomes.take_report())
         if message.include_measurements:
-            reply = LoadReply(
+            reply = dataclasses.replace(
+                reply,
                 loads=core.shard_loads.take_report(self.now),
                 service_time_sums=core.service_times.take_report(),
             )
