Mend the endless recursion of the roll-out coordinator

Cause: _update_usable called itself, so that no order was ever taken.

Change: it sets the flag on the roll-out.

Result: tests.core.rollouts.replay, which comes with the tests, showed it failing with a RecursionError and now runs to the end.

--- a/dragonflyshelf/core/rollouts/coordinator.py
+++ b/dragonflyshelf/core/rollouts/coordinator.py
@@ -55,7 +55,7 @@
         self, service: ids.ServiceName, known: rollout.Rollout
     ) -> None:
         if self._usable_services is not None:
-            self._update_usable(service, known)
+            known.set_usable(service in self._usable_services)
 
     def _update_upstreams(
         self,
@@ -132,7 +132,7 @@
             if not service.is_sharded
         )
         for service, known in self._rollouts_by_service.items():
-            known.set_usable(service in self._usable_services)
+            self._update_usable(service, known)
 
     @HANDLERS.register(upstream_events.RegistrationsChanged)
     def _on_registrations_changed(
