--- a/dragonflyshelf/core/rollouts/fleet.py
+++ b/dragonflyshelf/core/rollouts/fleet.py
@@ -58,12 +58,21 @@
         self, plan: objects.RolloutPlan, now: ids.Instant
     ) -> list[upstreams.Registration]:
         """Return the usable upstreams of the target that are warm."""
+        return [
+            registration
+            for registration in self.targets(plan)
+            if self._warm_at_by_incarnation[registration.incarnation] <= now
+        ]
+
+    def targets(
+        self, plan: objects.RolloutPlan
+    ) -> list[upstreams.Registration]:
+        """Return the usable upstreams of the target, warm or not."""
         return [
             registration
             for registration in self._registrations
             if registration.version == plan.target
             and self._is_usable(registration)
-            and self._warm_at_by_incarnation[registration.incarnation] <= now
         ]
 
     def present(
--- a/dragonflyshelf/core/rollouts/rollout.py
+++ b/dragonflyshelf/core/rollouts/rollout.py
@@ -279,12 +279,16 @@
         assert self._step_started_at is not None
         return self._now - self._step_started_at
 
-    def _canary_seconds(self, plan: objects.RolloutPlan) -> float:
-        """Return the planned length of the canary step."""
-        return max(
-            self._config.rollouts.canary_ratio * plan.duration,
-            MIN_CANARY_SECONDS,
+    def _canary_seconds_left(self, plan: objects.RolloutPlan) -> float:
+        """Return the planned rest of the canary step."""
+        config = self._config.rollouts
+        ends_in = self._seconds_left - (
+            (1.0 - config.canary_until) * plan.duration
         )
+        shortest = max(config.canary_ratio * plan.duration, MIN_CANARY_SECONDS)
+        if plan.step is Step.CANARY:
+            shortest -= self._step_seconds
+        return max(ends_in, shortest)
 
     @STEP_HANDLERS.register(Step.WAITING)
     def _wait(self) -> None:
@@ -317,7 +321,7 @@
             self._roll_back("not known to be good in time")
         elif (
             verdict is judge.Verdict.GOOD
-            and self._step_seconds >= self._canary_seconds(plan)
+            and self._canary_seconds_left(plan) <= 0
             and self.fleet.can_carry(plan, self._now)
         ):
             self._write(
@@ -336,7 +340,7 @@
             for registration in self.fleet.warm_targets(plan, self._now)
         }
         canaries = plan.canaries
-        if not usable.issuperset(canaries):
+        if not canaries or not usable.issuperset(canaries):
             canaries = self._choose_canaries(plan, plan.share)
         share = self._find_share(plan)
         age = self._now - self._plan_written_at
@@ -354,18 +358,20 @@
     def _finish(self) -> None:
         plan = self._plan
         assert plan is not None
-        if self._judge.find_verdict() is judge.Verdict.BAD:
+        verdict = self._judge.find_verdict()
+        if verdict is judge.Verdict.BAD:
             self._roll_back("bad")
             return
-        if not self.fleet.warm_targets(plan, self._now):
+        if not self.fleet.targets(plan):
             self._roll_back("upstreams of the target lost")
             return
-        drained = self._config.rollouts.drained
+        is_urgent = self._seconds_left < FORCED_MARGIN_SECONDS
         is_drained = (
             self._step_seconds >= MIN_FULL_SECONDS
-            and self._now - self._present_seen_at >= drained
+            and self._now - self._present_seen_at
+            >= self._config.rollouts.drained
         )
-        if is_drained or self._seconds_left < FORCED_MARGIN_SECONDS:
+        if verdict is judge.Verdict.GOOD and (is_drained or is_urgent):
             self._write(
                 dataclasses.replace(
                     plan,
@@ -374,6 +380,8 @@
                 ),
                 "good",
             )
+        elif is_urgent:
+            self._roll_back("not known to be good in time")
 
     @STEP_HANDLERS.register(Step.COMPLETED)
     @STEP_HANDLERS.register(Step.ROLLED_BACK)
@@ -390,10 +398,9 @@
         )
 
     def _find_share(self, plan: objects.RolloutPlan) -> float:
-        seconds_left = self._canary_seconds(plan)
-        if plan.step is Step.CANARY:
-            seconds_left -= self._step_seconds
-        share = self._budget.find_share(plan.share, seconds_left, self._now)
+        share = self._budget.find_share(
+            plan.share, self._canary_seconds_left(plan), self._now
+        )
         return round(share, 3)
 
     def _choose_canaries(
--- a/dragonflyshelf/core/settings.py
+++ b/dragonflyshelf/core/settings.py
@@ -256,26 +256,27 @@
     """Section ``rollouts``: how a new version of a service is judged.
 
     Instances send the share of a plan to the new version for ``term``
-    seconds after the plan was confirmed. The canary step takes the fraction
-    ``canary_ratio`` of the roll-out's duration, and at least
-    ``min_responses`` of the new version, at most ``max_share`` of the
-    requests. The version is bad if what it did would occur by chance with a
+    seconds after the plan was confirmed, at most ``max_share``. The canary
+    step ends after the fraction ``canary_until`` of the roll-out's duration,
+    and takes at least ``canary_ratio`` of it and ``min_responses`` of the new
+    version. The version is bad if what it did would occur by chance with a
     probability under ``certainty``, at the end of the step under ``doubt``.
     Failures are normal up to ``normal_failures`` of the requests, and so are
-    responses ``slow_factor`` times slower than those of the present version
-    up to ``normal_slow``. The roll-out is completed ``drained`` seconds after
-    the last response of the present version.
+    responses ``slow_factor`` times slower than those of slow upstreams of the
+    present version up to ``normal_slow``. The roll-out is completed
+    ``drained`` seconds after the last response of the present version.
     """
 
     term: Annotated[float, DURATION_RANGE] = 2.0
-    canary_ratio: Annotated[float, RATIO_RANGE] = 0.3
+    canary_until: Annotated[float, RATIO_RANGE] = 0.5
+    canary_ratio: Annotated[float, RATIO_RANGE] = 0.22
     min_responses: Annotated[int, ranges.Range(minimum=1, maximum=100000)] = 50
     max_share: Annotated[float, RATIO_RANGE] = 0.25
     certainty: Annotated[float, RATIO_RANGE] = 0.00003
-    doubt: Annotated[float, RATIO_RANGE] = 0.005
-    normal_failures: Annotated[float, RATIO_RANGE] = 0.01
+    doubt: Annotated[float, RATIO_RANGE] = 0.05
+    normal_failures: Annotated[float, RATIO_RANGE] = 0.005
     normal_slow: Annotated[float, RATIO_RANGE] = 0.05
-    slow_factor: Annotated[float, ranges.Range(minimum=1, maximum=100)] = 2.5
+    slow_factor: Annotated[float, ranges.Range(minimum=1, maximum=100)] = 2.0
     drained: Annotated[float, DURATION_RANGE] = 0.9
 
 
--- /dev/null
+++ b/tests/core/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of core/rollouts."""
