Let shard grants know the version in a roll-out

Cause: the leader granted keys to upstreams of a version that nobody may use yet, and orders for divided services were refused.

Change: for the shard manager an upstream that the plan excludes is one that leaves, so that its keys move with their handover. The canaries of a divided service get keys by rebalancing, half as many canaries as the share would allow.

Result: the tests of core/rollouts, grantor and scheduling pass.

--- a/dragonflyshelf/core/grantor/coordinator.py
+++ b/dragonflyshelf/core/grantor/coordinator.py
@@ -1,6 +1,7 @@
 """Leader election and, on the leader, assignment of shard ranges."""
 
 from collections import abc
+import dataclasses
 from typing import Final
 
 from dragonflyshelf.core.grantor import const
@@ -10,6 +11,7 @@
 from dragonflyshelf.core.grantor import shards
 from dragonflyshelf.core import ids
 from dragonflyshelf.core import registry
+from dragonflyshelf.core.rollouts import objects as rollouts
 from dragonflyshelf.core import settings
 from dragonflyshelf.core.upstreams import messages as upstream_events
 from dragonflyshelf.core.upstreams import objects as upstreams
@@ -39,6 +41,9 @@
             ids.ServiceName, shards.ShardManager
         ] = {}
         self._sharded_services: frozenset[ids.ServiceName] = frozenset()
+        self._rollout_plans_by_service: dict[
+            ids.ServiceName, rollouts.RolloutPlan
+        ] = {}
         self._role = lease.Role.FOLLOWER
         self._effects: Effects = []
 
@@ -76,8 +81,9 @@
         manager: shards.ShardManager,
         now: ids.Instant,
     ) -> None:
+        rollout_plan = self._rollout_plans_by_service.get(service)
         service_registrations = tuple(
-            registration
+            _apply_rollout(registration, rollout_plan)
             for registration in self._registrations
             if registration.service == service
         )
@@ -137,6 +143,17 @@
             self.lease_manager.observe(event, now)
         elif isinstance(event.value, objects.ShardPlan):
             self._manager(event.value.service, now).observe(event)
+        else:
+            self._observe_rollout(event.value, now)
+
+    def _observe_rollout(
+        self, plan: rollouts.RolloutPlan, now: ids.Instant
+    ) -> None:
+        """Have the versions that a plan excludes hold no keys."""
+        self._rollout_plans_by_service[plan.service] = plan
+        manager = self._managers_by_service.get(plan.service)
+        if manager is not None:
+            self._update_upstreams(plan.service, manager, now)
 
     @HANDLERS.register(messages.ControlWriteCompleted)
     def _on_control_write_completed(
@@ -224,3 +241,15 @@
         write = self.lease_manager.resign()
         if write is not None:
             self._effects.append(write)
+
+
+def _apply_rollout(
+    registration: upstreams.Registration, plan: rollouts.RolloutPlan | None
+) -> upstreams.Registration:
+    """Return the registration, as leaving if a roll-out excludes it.
+
+    The keys of an upstream that leaves are moved with their handover.
+    """
+    if plan is None or plan.may_hold(registration):
+        return registration
+    return dataclasses.replace(registration, is_draining=True)
--- a/dragonflyshelf/core/rollouts/coordinator.py
+++ b/dragonflyshelf/core/rollouts/coordinator.py
@@ -9,6 +9,7 @@
 from dragonflyshelf.core.rollouts import messages
 from dragonflyshelf.core.rollouts import objects
 from dragonflyshelf.core.rollouts import rollout
+from dragonflyshelf.core.routing import objects as routing
 from dragonflyshelf.core import settings
 from dragonflyshelf.core.upstreams import messages as upstream_events
 from dragonflyshelf.core.upstreams import objects as upstreams
@@ -32,7 +33,9 @@
         self._rollouts_by_service: dict[ids.ServiceName, rollout.Rollout] = {}
         self._registrations: tuple[upstreams.Registration, ...] = ()
         self._evacuated: frozenset[ids.DataCentreId] = frozenset()
-        self._usable_services: frozenset[ids.ServiceName] | None = None
+        self._services_by_name: (
+            dict[ids.ServiceName, routing.Service] | None
+        ) = None
         self._leading_since: ids.Instant | None = None
 
     def handle(self, event: messages.Event, now: ids.Instant) -> Effects:
@@ -46,16 +49,16 @@
         if known is None:
             known = rollout.Rollout(self._config, service)
             self._rollouts_by_service[service] = known
-            self._update_usable(service, known)
+            self._update_service(service, known)
             known.fleet.set_evacuated(self._evacuated)
             self._update_upstreams(service, known, now)
         return known
 
-    def _update_usable(
+    def _update_service(
         self, service: ids.ServiceName, known: rollout.Rollout
     ) -> None:
-        if self._usable_services is not None:
-            known.set_usable(service in self._usable_services)
+        if self._services_by_name is not None:
+            known.set_service(self._services_by_name.get(service))
 
     def _update_upstreams(
         self,
@@ -126,13 +129,11 @@
     def _on_services_changed(
         self, event: grantor.ServicesChanged, now: ids.Instant
     ) -> None:
-        self._usable_services = frozenset(
-            service.name
-            for service in event.services
-            if not service.is_sharded
-        )
+        self._services_by_name = {
+            service.name: service for service in event.services
+        }
         for service, known in self._rollouts_by_service.items():
-            self._update_usable(service, known)
+            self._update_service(service, known)
 
     @HANDLERS.register(upstream_events.RegistrationsChanged)
     def _on_registrations_changed(
--- a/dragonflyshelf/core/rollouts/gate.py
+++ b/dragonflyshelf/core/rollouts/gate.py
@@ -43,16 +43,7 @@
     def excludes(self, registration: upstreams.Registration) -> bool:
         """Return whether an upstream gets no requests beyond the share."""
         plan = self._plans_by_service.get(registration.service)
-        if plan is None:
-            return False
-        if registration.version in plan.barred:
-            return True
-        is_target = registration.version == plan.target
-        if plan.step is Step.COMPLETED:
-            return registration.incarnation in plan.retired
-        if plan.step is Step.FULL:
-            return not is_target
-        return is_target
+        return plan is not None and plan.excludes(registration)
 
     def count_request(self, service: ids.ServiceName) -> None:
         """Raise the credit of a service's canaries by the share."""
@@ -67,7 +58,7 @@
     ) -> tuple[ids.UpstreamIncarnation, ...]:
         """Return the canaries if the next request is to go to one."""
         plan = self._plans_by_service.get(service)
-        if plan is None or plan.step is not Step.CANARY:
+        if plan is None or plan.step is not Step.CANARY or plan.is_sharded:
             return ()
         if now - self._confirmed_at > self._term:
             return ()
--- a/dragonflyshelf/core/rollouts/objects.py
+++ b/dragonflyshelf/core/rollouts/objects.py
@@ -4,6 +4,7 @@
 import enum
 
 from dragonflyshelf.core import ids
+from dragonflyshelf.core.upstreams import objects as upstreams
 
 PLAN_NAME_PREFIX = "rollout-"
 """Prefix of a plan's object name; the name of the service follows."""
@@ -72,8 +73,9 @@
     none to versions in ``barred``, the targets of former orders, and after
     the last step none to the upstreams in ``retired``. ``requests`` reached
     the service since the order, ``spent`` of them its target, and ``rate``
-    do so each second. It ``is_closed`` once its order was removed. Times
-    are in Unix seconds.
+    do so each second. It ``is_closed`` once its order was removed, and
+    ``is_sharded`` if the service is divided; then the canaries hold some of
+    the keys instead. Times are in Unix seconds.
     """
 
     service: ids.ServiceName
@@ -91,6 +93,37 @@
     rate: float = 0.0
     reason: str = ""
     is_closed: bool = False
+    is_sharded: bool = False
+
+    def excludes(self, registration: upstreams.Registration) -> bool:
+        """Return whether an upstream gets no requests beyond the share.
+
+        In a divided service the holder of a key gets its requests, also
+        while the keys move to the target.
+        """
+        if self.is_sharded and self.step is RolloutStep.FULL:
+            return registration.version in self.barred
+        if self.is_sharded:
+            return not self.may_hold(registration)
+        if self.step is RolloutStep.CANARY:
+            return self._is_unproven(registration)
+        return not self.may_hold(registration)
+
+    def may_hold(self, registration: upstreams.Registration) -> bool:
+        """Return whether an upstream may be given requests or keys."""
+        if self.step is RolloutStep.COMPLETED:
+            return registration.incarnation not in self.retired
+        if self.step is RolloutStep.FULL:
+            return registration.version == self.target
+        if registration.incarnation in self.canaries:
+            return True
+        return not self._is_unproven(registration)
+
+    def _is_unproven(self, registration: upstreams.Registration) -> bool:
+        return (
+            registration.version == self.target
+            or registration.version in self.barred
+        )
 
     def is_for(self, order: RolloutOrder) -> bool:
         """Return whether this is the plan of an order."""
--- a/dragonflyshelf/core/rollouts/rollout.py
+++ b/dragonflyshelf/core/rollouts/rollout.py
@@ -19,6 +19,7 @@
 from dragonflyshelf.core.rollouts import messages
 from dragonflyshelf.core.rollouts import objects
 from dragonflyshelf.core.rollouts import outcomes
+from dragonflyshelf.core.routing import objects as routing
 from dragonflyshelf.core import settings
 from dragonflyshelf.core.store import messages as store
 
@@ -40,6 +41,12 @@
 MAX_REWRITE_SECONDS: Final = 2.5
 """Time after which a plan is written for a successor's sake."""
 
+KEY_SHARE_RATIO: Final = 0.5
+"""Canaries of a divided service, in those that the share would allow.
+
+Rebalancing gives them the busiest keys that fit.
+"""
+
 SHARE_CHANGE_RATIO: Final = 0.2
 """Change of the share, in its present value, that is worth a write."""
 
@@ -65,7 +72,8 @@
         self._order: objects.RolloutOrder | None = None
         self._plan: objects.RolloutPlan | None = None
         self._revision = ids.Revision(0)
-        self._is_usable_service: bool | None = None
+        self._is_known_service: bool | None = None
+        self._is_sharded = False
         self._effects: list[messages.Effect] = []
         self._now = ids.Instant(0.0)
         self._unix_time = 0.0
@@ -98,12 +106,10 @@
         if not is_same:
             self._written_status = None
 
-    def set_usable(self, is_usable: bool | None) -> None:
-        """Set whether the service is one whose versions can be told.
-
-        None means that no configuration is known yet.
-        """
-        self._is_usable_service = is_usable
+    def set_service(self, service: routing.Service | None) -> None:
+        """Set the service as configured, None if it is not."""
+        self._is_known_service = service is not None
+        self._is_sharded = service is not None and service.is_sharded
 
     def observe(
         self, revision: ids.Revision, plan: objects.RolloutPlan
@@ -184,7 +190,7 @@
                 self._close(plan)
             return
         if plan is None or not plan.is_for(self._order):
-            if self._is_usable_service is not None:
+            if self._is_known_service is not None:
                 self._begin(self._order)
             return
         if self._step_started_at is None:
@@ -204,6 +210,7 @@
             deadline=self._unix_time + order.duration,
             written_at=self._unix_time,
             barred=self._find_barred(order),
+            is_sharded=self._is_sharded,
         )
         problem = self._find_problem(order)
         if not problem:
@@ -218,8 +225,8 @@
             return f"order for {order.service} has no valid duration"
         if not order.target:
             return f"order for {order.service} has no target version"
-        if not self._is_usable_service:
-            return f"{order.service} is no service with versions to tell"
+        if not self._is_known_service:
+            return f"{order.service} is not configured"
         return ""
 
     def _find_barred(
@@ -339,10 +346,11 @@
             registration.incarnation
             for registration in self.fleet.warm_targets(plan, self._now)
         }
-        canaries = plan.canaries
-        if not canaries or not usable.issuperset(canaries):
-            canaries = self._choose_canaries(plan, plan.share)
         share = self._find_share(plan)
+        canaries = plan.canaries
+        is_spent = plan.is_sharded and not share
+        if is_spent or not canaries or not usable.issuperset(canaries):
+            canaries = self._choose_canaries(plan, share)
         age = self._now - self._plan_written_at
         is_changed = canaries != plan.canaries or (
             abs(share - plan.share) > SHARE_CHANGE_RATIO * plan.share
@@ -408,11 +416,13 @@
     ) -> tuple[ids.UpstreamIncarnation, ...]:
         """Return as many warm upstreams as the share of the present ones.
 
-        None are returned until there are enough.
+        None are returned until there are enough. In a divided service they
+        get more than a holder's usual part, as they start with no keys.
         """
         warm = self.fleet.warm_targets(plan, self._now)
-        count = max(round(share * len(self.fleet.present(plan))), 1)
-        if len(warm) < count:
+        ratio = KEY_SHARE_RATIO if plan.is_sharded else 1.0
+        count = max(round(ratio * share * len(self.fleet.present(plan))), 1)
+        if len(warm) < count or not share:
             return ()
         by_data_centre: dict[ids.DataCentreId, int] = {}
         ranked = []
