Test roll-outs: steps, losses, orders, status, frames, end to end

Found by them: a plan kept its canaries allowed in other steps; the rate was too low just after the first report; service times of a few milliseconds made a good version look slow in the test end to end.

--- a/dragonflyshelf/core/rollouts/budget.py
+++ b/dragonflyshelf/core/rollouts/budget.py
@@ -9,6 +9,9 @@
 RATE_WINDOW_SECONDS: Final = 2.0
 """Time over which the rate of requests is measured."""
 
+MIN_RATE_WINDOW_SECONDS: Final = 0.5
+"""The same just after the first report, which one instance may have sent."""
+
 REPORT_DELAY_SECONDS: Final = 1.2
 """Age of the newest requests that reports may lack."""
 
@@ -31,6 +34,7 @@
         """Create a budget of which something may have been spent."""
         self._promises = config.promises
         self._max_share = config.rollouts.max_share
+        self._counted_from = ids.Instant(float("inf"))
         self.requests = requests
         self.spent = spent
         self._reports: collections.deque[tuple[ids.Instant, int]] = (
@@ -39,6 +43,7 @@
 
     def add(self, sent: int, is_new: bool, now: ids.Instant) -> None:
         """Add attempts that an instance has reported."""
+        self._counted_from = min(self._counted_from, now)
         self.requests += sent
         if is_new:
             self.spent += sent
@@ -50,7 +55,9 @@
             self._reports and self._reports[0][0] < now - RATE_WINDOW_SECONDS
         ):
             self._reports.popleft()
-        return sum(sent for _, sent in self._reports) / RATE_WINDOW_SECONDS
+        window = min(now - self._counted_from, RATE_WINDOW_SECONDS)
+        sent_count = sum(sent for _, sent in self._reports)
+        return sent_count / max(window, MIN_RATE_WINDOW_SECONDS)
 
     @property
     def allowance(self) -> float:
--- a/dragonflyshelf/core/rollouts/judge.py
+++ b/dragonflyshelf/core/rollouts/judge.py
@@ -44,6 +44,12 @@
 MIN_UPSTREAM_RESPONSES: Final = 5
 """Responses from which on an upstream's median service time is used."""
 
+MIN_SLOW_SECONDS: Final = 0.03
+"""Service time up to which no response counts as slow.
+
+A busy instance and the network take part of it.
+"""
+
 SLOW_UPSTREAM_RATIO: Final = 0.8
 """Part of the present upstreams that are faster than the one compared with.
 
@@ -253,7 +259,10 @@
             return None
         distance = math.log2(self._config.slow_factor)
         distance *= outcomes.RANGES_PER_DOUBLING
-        return medians[slow_index] + math.ceil(distance)
+        return max(
+            medians[slow_index] + math.ceil(distance),
+            outcomes.range_of(MIN_SLOW_SECONDS) + 1,
+        )
 
     def _make_figures(self, totals: CountsByGroup, chance: float) -> Figures:
         new = _sum_counts(_select(totals, is_new=True))
--- a/dragonflyshelf/core/rollouts/objects.py
+++ b/dragonflyshelf/core/rollouts/objects.py
@@ -115,8 +115,9 @@
             return registration.incarnation not in self.retired
         if self.step is RolloutStep.FULL:
             return registration.version == self.target
-        if registration.incarnation in self.canaries:
-            return True
+        if self.step is RolloutStep.CANARY:
+            if registration.incarnation in self.canaries:
+                return True
         return not self._is_unproven(registration)
 
     def _is_unproven(self, registration: upstreams.Registration) -> bool:
--- a/stand_ins/objects.py
+++ b/stand_ins/objects.py
@@ -67,7 +67,27 @@
             raise RevisionConflict(current)
         if current["Spec"] == spec:
             return current
-        return self._put(kind, name, spec)
+        return self._put(kind, name, spec, current["Status"])
+
+    def replace_status(
+        self,
+        kind: str,
+        name: str,
+        status: Any,
+        expected_revision: int | None,
+    ) -> dict[str, Any]:
+        """Replace the status of an object; the same one changes nothing.
+
+        Raises ``RevisionConflict`` on a revision mismatch.
+        """
+        current = self._objects_by_kind.get(kind, {}).get(name)
+        if current is None:
+            raise RevisionConflict(None)
+        if expected_revision not in (None, current["Metadata"]["Revision"]):
+            raise RevisionConflict(current)
+        if current["Status"] == status:
+            return current
+        return self._put(kind, name, current["Spec"], status)
 
     def remove(self, kind: str, name: str) -> None:
         """Remove an object if it exists."""
@@ -99,12 +119,14 @@
         self._changes.clear()
         self._oldest_revision = self.revision + 1
 
-    def _put(self, kind: str, name: str, spec: Any) -> dict[str, Any]:
+    def _put(
+        self, kind: str, name: str, spec: Any, status: Any = None
+    ) -> dict[str, Any]:
         self.revision += 1
         stored = {
             "Metadata": {"Name": name, "Revision": self.revision},
             "Spec": spec,
-            "Status": None,
+            "Status": status,
         }
         self._objects_by_kind.setdefault(kind, {})[name] = stored
         self._record(kind, False, stored)
--- a/stand_ins/store.py
+++ b/stand_ins/store.py
@@ -12,6 +12,7 @@
 from stand_ins import objects
 
 PATH_PREFIX = "/-/objects/"
+STATUS_SUFFIX = "/status"
 MAX_PAGE_OBJECT_COUNT = 50
 
 
@@ -136,6 +137,13 @@
         metadata = body["Metadata"]
         if request.method == "POST":
             stored = self.objects.create(kind, metadata["Name"], body["Spec"])
+        elif name.endswith(STATUS_SUFFIX):
+            stored = self.objects.replace_status(
+                kind,
+                name.removesuffix(STATUS_SUFFIX),
+                body["Status"],
+                metadata.get("Revision"),
+            )
         else:
             stored = self.objects.replace(
                 kind, name, body["Spec"], metadata.get("Revision")
--- a/tests/codec/test_relay.py
+++ b/tests/codec/test_relay.py
@@ -4,7 +4,10 @@
 
 from dragonflyshelf.codec import frames
 from dragonflyshelf.codec import relay as codec
+from dragonflyshelf.core import addresses
+from dragonflyshelf.core import ids
 from dragonflyshelf.core.relay import messages
+from dragonflyshelf.core.rollouts import outcomes
 
 
 def make_frame(member: str) -> bytes:
@@ -32,6 +35,7 @@
         assert request.received_count == messages.NOT_COUNTED
         assert request.news == ()
         assert not request.is_small
+        assert request.outcomes == ()
 
     def test_update(self) -> None:
         """Its changes follow on any revision and are not compressed."""
@@ -47,3 +51,33 @@
         assert not relayed.changes[0].is_delta
         assert received.age == messages.UNKNOWN_AGE
         assert not received.serves_slots
+
+
+class TestOutcomes:
+    """Outcomes of attempts in an update request."""
+
+    def test_round_trip(self) -> None:
+        """They are decoded as they were encoded."""
+        times = tuple(range(outcomes.RANGE_COUNT))
+        outcome = outcomes.OutcomeSum(
+            service=ids.ServiceName("letters"),
+            route=ids.RouteName("read"),
+            life=ids.UpstreamIncarnation("u1@7"),
+            sent=300,
+            answers=299,
+            failures=3,
+            times=times,
+        )
+        request = messages.UpdateRequest(
+            instance=ids.InstanceId("i1"),
+            data_centre=ids.DataCentreId("a"),
+            address=addresses.Address(host="10.0.0.1", port=7100),
+            number=1,
+            known=(),
+            loads=(),
+            outcomes=(outcome,),
+        )
+        (decoded,) = frames.FrameDecoder(codec.CODEC).receive(
+            codec.CODEC.encode(request)
+        )
+        assert decoded == request
--- a/tests/stand_ins/test_store.py
+++ b/tests/stand_ins/test_store.py
@@ -33,6 +33,36 @@
         assert store.revision == before
 
 
+class TestStatus:
+    """The status of an object is replaced by itself."""
+
+    def test_replaced(self) -> None:
+        """The spec stays, and the revision is a new one."""
+        store = objects.ObjectStore()
+        first = store.create("k", "a", 1)["Metadata"]["Revision"]
+        stored = store.replace_status("k", "a", "done", first)
+        assert (stored["Spec"], stored["Status"]) == (1, "done")
+        assert stored["Metadata"]["Revision"] > first
+        with pytest.raises(objects.RevisionConflict):
+            store.replace_status("k", "a", "other", first)
+
+    def test_same_status(self) -> None:
+        """The same status again changes nothing."""
+        store = objects.ObjectStore()
+        store.create("k", "a", 1)
+        store.replace_status("k", "a", "done", None)
+        before = store.revision
+        store.replace_status("k", "a", "done", None)
+        assert store.revision == before
+
+    def test_new_spec(self) -> None:
+        """A new spec leaves the status."""
+        store = objects.ObjectStore()
+        store.create("k", "a", 1)
+        store.replace_status("k", "a", "done", None)
+        assert store.replace("k", "a", 2, None)["Status"] == "done"
+
+
 class TestHistory:
     """Changes that are retained for watches."""
 
