--- a/dragonflyshelf/core/rollouts/budget.py
+++ b/dragonflyshelf/core/rollouts/budget.py
@@ -12,6 +12,9 @@
 MIN_RATE_WINDOW_SECONDS: Final = 0.5
 """The same just after the first report, which one instance may have sent."""
 
+SURE_RATE_SECONDS: Final = 1.2
+"""Time from the first report on after which the rate is relied on."""
+
 REPORT_DELAY_SECONDS: Final = 1.2
 """Age of the newest requests that reports may lack."""
 
@@ -79,4 +82,7 @@
         left = self.allowance - self.spent - unreported
         horizon = max(seconds_left, MIN_HORIZON_SECONDS)
         share = self._promises.exposure_share + left / (rate * horizon)
-        return min(max(share, 0.0), self._max_share)
+        max_share = self._max_share
+        if now - self._counted_from < SURE_RATE_SECONDS:
+            max_share = min(max_share, self._promises.exposure_share)
+        return min(max(share, 0.0), max_share)
--- a/dragonflyshelf/core/rollouts/rollout.py
+++ b/dragonflyshelf/core/rollouts/rollout.py
@@ -260,10 +260,11 @@
         self._present_seen_at = self._now
         if is_successor:
             gap = max(self._unix_time - plan.written_at, 0.0)
+            unseen = plan.rate * gap
             self._budget = budget.ExposureBudget(
                 self._config,
-                plan.requests,
-                plan.spent + plan.share * plan.rate * gap,
+                plan.requests + unseen,
+                plan.spent + plan.share * unseen,
             )
         if self._deadline_at is None:
             self._deadline_at = ids.Instant(
--- a/dragonflyshelf/core/settings.py
+++ b/dragonflyshelf/core/settings.py
@@ -268,7 +268,7 @@
     """
 
     term: Annotated[float, DURATION_RANGE] = 2.0
-    canary_until: Annotated[float, RATIO_RANGE] = 0.5
+    canary_until: Annotated[float, RATIO_RANGE] = 0.45
     canary_ratio: Annotated[float, RATIO_RANGE] = 0.22
     min_responses: Annotated[int, ranges.Range(minimum=1, maximum=100000)] = 50
     max_share: Annotated[float, RATIO_RANGE] = 0.25
