--- a/dragonflyshelf/core/promises.py
+++ b/dragonflyshelf/core/promises.py
@@ -17,6 +17,9 @@
 EXIT_SECONDS: Final = 0.4
 """Time that a process takes to end after its last request."""
 
+JUDGEMENT_SECONDS: Final = 2.0
+"""Time from a bad response over its report to the plan that follows."""
+
 MAX_SETTLE_RATIO: Final = 0.5
 """Share of the shutdown in which the listeners are open at most."""
 
@@ -91,6 +94,17 @@
     )
 
 
+@LIMITS.register("rollouts")
+def _limit_rollouts(config: settings.Settings) -> settings.Settings:
+    """Shorten the term: past it an instance without the plan sends none."""
+    term = min(
+        config.rollouts.term, config.promises.rollback - JUDGEMENT_SECONDS
+    )
+    return dataclasses.replace(
+        config, rollouts=dataclasses.replace(config.rollouts, term=term)
+    )
+
+
 @LIMITS.register("shutdown")
 def _limit_shutdown(config: settings.Settings) -> settings.Settings:
     deadline = min(
--- a/dragonflyshelf/core/settings_rules.py
+++ b/dragonflyshelf/core/settings_rules.py
@@ -136,6 +136,11 @@
             "two watch waits and a request take",
         ),
         ("grace", 2 * promises.EXIT_SECONDS, "the end of a process takes"),
+        (
+            "rollback",
+            1.5 * promises.JUDGEMENT_SECONDS,
+            "reports and the judgement of a version take",
+        ),
     ):
         value = getattr(config.promises, option)
         yield from _check_at_least("promises", option, value, bound, text)
--- a/tests/core/test_promises.py
+++ b/tests/core/test_promises.py
@@ -62,12 +62,20 @@
         shutdown = parse(grace=promised).shutdown
         assert shutdown.settle < shutdown.deadline < promised
 
+    @pytest.mark.parametrize("promised", [3.0, 5.0, 20.0])
+    def test_rolled_back_version(self, promised: float) -> None:
+        """An instance without the newest plan stops in time."""
+        term = parse(rollback=promised).rollouts.term
+        assert term + promises.JUDGEMENT_SECONDS <= promised
+        assert term <= settings.RolloutSettings().term
+
 
 class TestPromisesThatCannotBeKept:
     """They are reported at the option, in place of being broken later."""
 
     @pytest.mark.parametrize(
-        "option", ["apply", "contact", "drain", "grace", "revoke"]
+        "option",
+        ["apply", "contact", "drain", "grace", "revoke", "rollback"],
     )
     def test_too_short(self, option: str) -> None:
         """The least value is named."""
