--- a/dragonflyshelf/core/rollouts/rollout.py
+++ b/dragonflyshelf/core/rollouts/rollout.py
@@ -19,6 +19,7 @@
 from dragonflyshelf.core.rollouts import messages
 from dragonflyshelf.core.rollouts import objects
 from dragonflyshelf.core.rollouts import outcomes
+from dragonflyshelf.core.rollouts import status
 from dragonflyshelf.core.routing import objects as routing
 from dragonflyshelf.core import settings
 from dragonflyshelf.core.store import messages as store
@@ -90,9 +91,7 @@
         self._present_seen_at = DISTANT_PAST
         self._plan_written_at = DISTANT_PAST
         self._pending_plan = None
-        self._pending_status: messages.WriteStatus | None = None
-        self._written_status: objects.RolloutStatus | None = None
-        self._next_status_at = DISTANT_PAST
+        self._status_writer = status.StatusWriter()
 
     def set_order(self, order: objects.RolloutOrder | None) -> None:
         """Replace the order; a new one starts with nothing spent."""
@@ -104,7 +103,7 @@
             and dataclasses.replace(former, revision=order.revision) == order
         )
         if not is_same:
-            self._written_status = None
+            self._status_writer.reset()
 
     def set_service(self, service: routing.Service | None) -> None:
         """Set the service as configured, None if it is not."""
@@ -159,17 +158,8 @@
     def complete_status(
         self, event: messages.StatusWriteCompleted, now: ids.Instant
     ) -> None:
-        """Process the outcome of a status's write.
-
-        After a conflict the newer order is awaited: it may be another one.
-        """
-        if event.write is not self._pending_status:
-            return
-        self._pending_status = None
-        if event.outcome is store.WriteOutcome.DONE:
-            self._written_status = event.write.status
-            return
-        self._next_status_at = ids.Instant(now + const.RETRY_INTERVAL_SECONDS)
+        """Process the outcome of a status's write."""
+        self._status_writer.complete(event, now)
 
     def tick(
         self, now: ids.Instant, unix_time: float
@@ -180,7 +170,10 @@
         self._effects = []
         if self._pending_plan is None and now >= self._next_write_at:
             self._advance()
-        self._write_status_if_due()
+        if self._order is not None and self._plan is not None:
+            self._effects.extend(
+                self._status_writer.find_due(self._order, self._plan, now)
+            )
         return self._effects
 
     def _advance(self) -> None:
@@ -199,7 +192,7 @@
 
     def _begin(self, order: objects.RolloutOrder) -> None:
         """Write the first plan of an order, or refuse the order."""
-        self._written_status = None
+        self._status_writer.reset()
         self._budget = budget.ExposureBudget(self._config, 0.0, 0.0)
         self._deadline_at = ids.Instant(self._now + order.duration)
         plan = objects.RolloutPlan(
@@ -460,27 +453,3 @@
                     allowance=self._budget.allowance,
                 )
             )
-
-    def _write_status_if_due(self) -> None:
-        """Write the state of the plan that is in the store."""
-        plan = self._plan
-        order = self._order
-        if plan is None or order is None or not plan.is_for(order):
-            return
-        if not order.target:
-            return
-        status = objects.RolloutStatus(
-            state=plan.step.state, target=plan.target
-        )
-        is_due = self._now >= self._next_status_at
-        if self._pending_status or status == self._written_status:
-            return
-        if not is_due:
-            return
-        self._pending_status = messages.WriteStatus(
-            name=order.name,
-            expected_revision=order.revision,
-            status=status,
-            timeout=const.WRITE_TIMEOUT_SECONDS,
-        )
-        self._effects.append(self._pending_status)
