Exclude nothing by an order that is refused; state the judge's error rates

Cause: an order for the version in service, or an odd one that names it, excluded all upstreams of the service; found by reading.

Change: such orders are refused with DS206 and their plans exclude no target; versions that former orders have not let in stay barred.

Result: test_version_in_service_known_late failed before the check in step waiting.

--- a/dragonflyshelf/core/rollouts/fleet.py
+++ b/dragonflyshelf/core/rollouts/fleet.py
@@ -87,6 +87,13 @@
             and self._is_usable(registration)
         ]
 
+    def has_only_targets(self, plan: objects.RolloutPlan) -> bool:
+        """Return whether no upstream of another version is registered."""
+        return bool(self._registrations) and all(
+            registration.version == plan.target
+            for registration in self._registrations
+        )
+
     def retired(
         self, plan: objects.RolloutPlan
     ) -> tuple[ids.UpstreamIncarnation, ...]:
--- a/dragonflyshelf/core/rollouts/objects.py
+++ b/dragonflyshelf/core/rollouts/objects.py
@@ -75,7 +75,8 @@
     the service since the order, ``spent`` of them its target, and ``rate``
     do so each second. It ``is_closed`` once its order was removed, and
     ``is_sharded`` if the service is divided; then the canaries hold some of
-    the keys instead. Times are in Unix seconds.
+    the keys instead. It ``is_refused`` for an order that can't be carried
+    out, and then excludes no target. Times are in Unix seconds.
     """
 
     service: ids.ServiceName
@@ -94,6 +95,7 @@
     reason: str = ""
     is_closed: bool = False
     is_sharded: bool = False
+    is_refused: bool = False
 
     def excludes(self, registration: upstreams.Registration) -> bool:
         """Return whether an upstream gets no requests beyond the share.
@@ -111,6 +113,8 @@
 
     def may_hold(self, registration: upstreams.Registration) -> bool:
         """Return whether an upstream may be given requests or keys."""
+        if self.is_refused:
+            return registration.version not in self.barred
         if self.step is RolloutStep.COMPLETED:
             return registration.incarnation not in self.retired
         if self.step is RolloutStep.FULL:
--- a/dragonflyshelf/core/rollouts/rollout.py
+++ b/dragonflyshelf/core/rollouts/rollout.py
@@ -51,6 +51,11 @@
 SHARE_CHANGE_RATIO: Final = 0.2
 """Change of the share, in its present value, that is worth a write."""
 
+KNOWN_UPSTREAMS_SECONDS: Final = 1.0
+"""Time after an order in which its service's upstreams become known."""
+
+ONLY_TARGETS_PROBLEM: Final = "all upstreams have the target version already"
+
 DISTANT_PAST: Final = ids.Instant(float("-inf"))
 Step = objects.RolloutStep
 StepHandler = abc.Callable[["Rollout"], None]
@@ -202,16 +207,31 @@
             step=Step.WAITING,
             deadline=self._unix_time + order.duration,
             written_at=self._unix_time,
-            barred=self._find_barred(order),
+            barred=self._find_barred(),
             is_sharded=self._is_sharded,
         )
         problem = self._find_problem(order)
-        if not problem:
-            self._write(plan, "ordered")
+        if not problem and self.fleet.has_only_targets(plan):
+            problem = ONLY_TARGETS_PROBLEM
+        if problem:
+            self._refuse(plan, problem)
             return
+        others = set(plan.barred) - {order.target}
+        self._write(
+            dataclasses.replace(plan, barred=tuple(sorted(others))), "ordered"
+        )
+
+    def _refuse(self, plan: objects.RolloutPlan, problem: str) -> None:
+        """Write a plan that moves nothing."""
+        assert self._order is not None
         error = errors.RolloutRefused(problem)
-        self._effects.append(messages.RefuseOrder(order=order, error=error))
-        self._write(dataclasses.replace(plan, step=Step.ROLLED_BACK), problem)
+        self._effects.append(
+            messages.RefuseOrder(order=self._order, error=error)
+        )
+        self._write(
+            dataclasses.replace(plan, step=Step.ROLLED_BACK, is_refused=True),
+            problem,
+        )
 
     def _find_problem(self, order: objects.RolloutOrder) -> str:
         if order.duration <= 0:
@@ -222,17 +242,14 @@
             return f"{order.service} is not configured"
         return ""
 
-    def _find_barred(
-        self, order: objects.RolloutOrder
-    ) -> tuple[ids.UpstreamVersion, ...]:
+    def _find_barred(self) -> tuple[ids.UpstreamVersion, ...]:
         """Return the versions that former orders have not let in."""
         former = self._plan
         if former is None:
             return ()
         barred = set(former.barred)
-        if former.step is not Step.COMPLETED:
+        if former.step is not Step.COMPLETED and not former.is_refused:
             barred.add(former.target)
-        barred.discard(order.target)
         return tuple(sorted(barred))
 
     def _close(self, plan: objects.RolloutPlan) -> None:
@@ -301,6 +318,10 @@
         if self._seconds_left < needed_seconds:
             self._roll_back("no warm upstreams in time")
             return
+        if self.fleet.has_only_targets(plan):
+            if self._step_seconds >= KNOWN_UPSTREAMS_SECONDS:
+                self._refuse(plan, ONLY_TARGETS_PROBLEM)
+            return
         share = self._find_share(plan)
         canaries = self._choose_canaries(plan, share)
         if share and canaries:
--- a/tests/core/rollouts/replay.py
+++ b/tests/core/rollouts/replay.py
@@ -3,7 +3,7 @@
 Load pattern: 62 instances that each see a few of 228 requests per second,
 15 upstreams of 4 slots for either version with service speeds from 0.7 to
 1.6, and 0.1% errors of their own. ``python -m tests.core.rollouts.replay
-SEEDS`` prints how often the judge errs.
+SEEDS SERVICE`` prints how often the judge errs.
 """
 
 import collections
@@ -71,6 +71,19 @@
     warmup_seconds: float = 3.0
 
 
+SITES: dict[str, dict[str, Any]] = {
+    "templates": {},
+    "orders": {
+        "rate": 235.0,
+        "work_seconds": 0.16,
+        "spread": 0.8,
+        "upstream_count": 20,
+        "speeds": (0.5, 1.0, 1.0, 1.5),
+    },
+}
+"""What differs at the site's services from the default."""
+
+
 @dataclasses.dataclass(kw_only=True)
 class Upstream:
     """An upstream with the requests that run and wait."""
@@ -509,9 +522,9 @@
 
 def main() -> None:
     """Print the error rates for each kind of version."""
-    kinds = [Kind(word) for word in sys.argv[2:]] or list(Kind)
-    for kind in kinds:
-        print_errors(Site(kind=kind), range(int(sys.argv[1])))
+    values = SITES[sys.argv[2]]
+    for kind in Kind:
+        print_errors(Site(kind=kind, **values), range(int(sys.argv[1])))
 
 
 if __name__ == "__main__":
--- a/tests/core/rollouts/test_coordinator.py
+++ b/tests/core/rollouts/test_coordinator.py
@@ -266,6 +266,55 @@
         assert leader.plan.step is Step.ROLLED_BACK
         assert leader.refusals[0].error.code == "DS206"
 
+    def test_version_in_service(self) -> None:
+        """An order for the only version there is excludes nothing."""
+        leader = harness.Leader(harness.PlanStore())
+        leader.register(*map(harness.present, harness.PRESENT_NAMES))
+        leader.order(replay.make_order(target=replay.PRESENT))
+        leader.advance(0.5)
+        assert leader.refusals[0].error.code == "DS206"
+        assert not leader.plan.excludes(harness.present("old-0"))
+        assert leader.plan.may_hold(harness.present("old-0"))
+        assert told_states(leader.store) == [State.ROLLED_BACK]
+
+    def test_version_in_service_known_late(self) -> None:
+        """The same where the upstreams become known after the order."""
+        leader = harness.Leader(harness.PlanStore())
+        leader.register()
+        leader.order(replay.make_order(target=replay.PRESENT))
+        leader.advance(0.5)
+        leader.register(*map(harness.present, harness.PRESENT_NAMES))
+        leader.advance(1.0)
+        assert not leader.plan.excludes(harness.present("old-0"))
+
+    def test_refused_order_excludes_nothing(self) -> None:
+        """Neither version is left without requests by an odd order."""
+        leader = harness.Leader(harness.PlanStore())
+        leader.order(replay.make_order(target=replay.PRESENT, duration=0.0))
+        leader.advance(0.5)
+        for upstream in harness.ALL_UPSTREAMS:
+            assert not leader.plan.excludes(upstream)
+
+    def test_order_after_a_refused_one(self) -> None:
+        """The target of a refused order is not barred."""
+        leader = harness.Leader(harness.PlanStore())
+        leader.order(replay.make_order(target=replay.PRESENT, duration=0.0))
+        leader.advance(0.5)
+        leader.order(replay.make_order())
+        leader.advance(0.1)
+        assert not leader.plan.excludes(harness.present("old-0"))
+        assert leader.plan.excludes(harness.target("new-0"))
+
+    def test_refused_order_after_a_bad_version(self) -> None:
+        """A version that was taken back stays without requests."""
+        leader = make_leader()
+        leader.advance_to(Step.CANARY)
+        leader.advance(3.0, failure_ratio=0.5)
+        leader.order(replay.make_order(duration=0.0))
+        leader.advance(0.5)
+        assert leader.plan.is_refused
+        assert leader.plan.excludes(harness.target("new-0"))
+
     def test_second_order(self) -> None:
         """The first target is barred, and the second order starts anew."""
         leader = make_leader()
--- a/tests/core/rollouts/test_replay.py
+++ b/tests/core/rollouts/test_replay.py
@@ -67,12 +67,5 @@
     @pytest.mark.parametrize("seed", SEEDS)
     def test_orders(self, seed: int) -> None:
         """A service with longer and more varied work is no exception."""
-        result = self.play(
-            seed,
-            rate=235.0,
-            work_seconds=0.16,
-            spread=0.8,
-            upstream_count=20,
-            speeds=(0.5, 1.0, 1.0, 1.5),
-        )
+        result = self.play(seed, **replay.SITES["orders"])
         assert result.step is objects.RolloutStep.COMPLETED
