--- a/dragonflyshelf/core/scheduling/slot_placement.py
+++ b/dragonflyshelf/core/scheduling/slot_placement.py
@@ -33,12 +33,15 @@
 
         For a divided service that is the holder of the key, if the broker
         assigns its slots. Where it does not serve cold holders, the senders
-        to these are fixed.
+        to these are fixed. A canary is chosen here.
         """
         if not self.client.may_request(now):
             return False
         if not self._fleet.is_sharded(exchange.service):
-            return exchange.attempt_count == 0
+            is_for_canary = bool(
+                self._fleet.due_canaries(exchange.service, now)
+            )
+            return exchange.attempt_count == 0 and not is_for_canary
         key = exchange.head.shard_key
         if key is None or not self.client.serves_holders:
             return False
--- a/dragonflyshelf/core/timeline/explanation.py
+++ b/dragonflyshelf/core/timeline/explanation.py
@@ -26,6 +26,7 @@
     "leadership ",
     "plan of ",
     "relay at ",
+    "rollout of ",
     "settings reloaded",
     "store lost",
     "store regained",
--- a/dragonflyshelf/runtime/gateway/decoding.py
+++ b/dragonflyshelf/runtime/gateway/decoding.py
@@ -14,6 +14,7 @@
 from dragonflyshelf.core.store import messages as store
 from dragonflyshelf.platform import names
 from dragonflyshelf.platform import objects
+from dragonflyshelf.platform import rollouts
 
 _LOGGER = logging.get_absl_logger()
 
@@ -36,7 +37,7 @@
 
 @DECODERS.register(store.ObjectKind.CONTROL)
 def decode_control(stored: store.StoredObject) -> Any:
-    """Decode a control object: a lease or a shard plan."""
+    """Decode a control object: a lease or a plan."""
     return control.decode(stored.spec)
 
 
@@ -52,6 +53,12 @@
     return objects.decode_registration(stored)
 
 
+@DECODERS.register(store.ObjectKind.ROLLOUT)
+def decode_rollout(stored: store.StoredObject) -> Any:
+    """Decode the order of a roll-out."""
+    return rollouts.decode_order(stored)
+
+
 SuccessorCheck = abc.Callable[[Any, Any], None]
 
 SUCCESSOR_CHECKS: Final[
--- a/stand_ins/store.py
+++ b/stand_ins/store.py
@@ -13,6 +13,7 @@
 from stand_ins import server
 
 PATH_PREFIX = "/-/objects/"
+STATUS_SUFFIX = "/status"
 MAX_PAGE_OBJECT_COUNT = 50
 
 
@@ -137,6 +138,13 @@
         metadata = body["Metadata"]
         if request.method == "POST":
             stored = self.objects.create(kind, metadata["Name"], body["Spec"])
+        elif name.endswith(STATUS_SUFFIX):
+            stored = self.objects.replace_status(
+                kind,
+                name.removesuffix(STATUS_SUFFIX),
+                body["Status"],
+                metadata.get("Revision"),
+            )
         else:
             stored = self.objects.replace(
                 kind, name, body["Spec"], metadata.get("Revision")
--- a/tests/codec/test_relay.py
+++ b/tests/codec/test_relay.py
@@ -5,8 +5,10 @@
 
 from dragonflyshelf.codec import frames
 from dragonflyshelf.codec import relay as codec
+from dragonflyshelf.core import addresses
 from dragonflyshelf.core import ids
 from dragonflyshelf.core.relay import messages
+from dragonflyshelf.core.rollouts import outcomes
 from dragonflyshelf.core.slots import messages as slots
 
 
@@ -75,6 +77,7 @@
         assert request.received_count == messages.NOT_COUNTED
         assert request.news == ()
         assert not request.is_small
+        assert request.outcomes == ()
 
     def test_update(self) -> None:
         """Its changes follow on any revision and are not compressed."""
@@ -113,3 +116,33 @@
         frame.init("slotReport").result = "answered"
         report = codec.CODEC.decode(frame.to_bytes())
         assert not report.is_turned_away
+
+
+class TestOutcomes:
+    """Outcomes of attempts in an update request."""
+
+    def test_round_trip(self) -> None:
+        """They are decoded as they were encoded."""
+        times = tuple(range(outcomes.RANGE_COUNT))
+        outcome = outcomes.OutcomeSum(
+            service=ids.ServiceName("letters"),
+            route=ids.RouteName("read"),
+            life=ids.UpstreamIncarnation("u1@7"),
+            sent=300,
+            answers=299,
+            failures=3,
+            times=times,
+        )
+        request = messages.UpdateRequest(
+            instance=ids.InstanceId("i1"),
+            data_centre=ids.DataCentreId("a"),
+            address=addresses.Address(host="10.0.0.1", port=7100),
+            number=1,
+            known=(),
+            loads=(),
+            outcomes=(outcome,),
+        )
+        (decoded,) = frames.FrameDecoder(codec.CODEC).receive(
+            codec.CODEC.encode(request)
+        )
+        assert decoded == request
