Judge the spread of service times in place of stragglers

Change: the variance of the logarithms of service times around each upstream's own mean is compared, in place of the stragglers.

--- a/dragonflyshelf/core/rollouts/chances.py
+++ b/dragonflyshelf/core/rollouts/chances.py
@@ -11,6 +11,15 @@
 With fewer only the normal ratio of failures counts.
 """
 
+SPREAD_TOLERANCE_RATIO: Final = 1.1
+"""Ratio of the present version's variance up to which more is normal."""
+
+SPREAD_FACTOR: Final = 2.5
+"""Variance of the logarithm of a variance, for one response.
+
+It would be 2 without the few responses that are much slower than others.
+"""
+
 NEGLIGIBLE_RATIO: Final = 1e-9
 """Term of a sum, relative to it, from which on the rest is left out."""
 
@@ -33,6 +42,19 @@
     return max(chance, _find_tail(new.count, both, expected))
 
 
+def find_spread_chance(new: tables.Spread, present: tables.Spread) -> float:
+    """Return the probability of the new version's wider spread by chance.
+
+    The logarithm of a ratio of variances is normally distributed, if both
+    have enough responses.
+    """
+    if min(new.total, present.total) < MIN_COMPARED_RESPONSES:
+        return 1.0
+    excess = math.log(new.variance / present.variance / SPREAD_TOLERANCE_RATIO)
+    deviation = math.sqrt(SPREAD_FACTOR * (1 / new.total + 1 / present.total))
+    return 0.5 * math.erfc(excess / deviation / math.sqrt(2.0))
+
+
 def _find_tail(count: int, total: int, expected: float) -> float:
     """Return the probability of ``count`` or more of ``total`` by chance."""
     if count <= expected or not total:
--- a/dragonflyshelf/core/rollouts/judge.py
+++ b/dragonflyshelf/core/rollouts/judge.py
@@ -129,7 +129,7 @@
         chance = min(
             self._find_chance(totals),
             self._find_chance(recent),
-            self._find_straggler_chance(),
+            self._find_spread_chance(),
         )
         self.figures = self._make_figures(totals, chance)
         if chance < self._config.certainty:
@@ -234,27 +234,24 @@
             new, present, self._config.normal_slow, SLOW_TOLERANCE_RATIO
         )
 
-    def _find_straggler_chance(self) -> float:
-        """Return the probability of the new version's stragglers.
+    def _find_spread_chance(self) -> float:
+        """Return the probability of the new version's spread of times.
 
-        They are much slower than the median of their own upstream, so that
-        the speed of upstreams does not matter.
+        It is wide if a part of the responses is slow, whatever the speed of
+        the upstreams.
         """
-        return min(
+        spreads = [
             (
-                chances.find_excess_chance(
-                    tables.find_straggler_ratio(
-                        self._new_times.get(route, {})
-                    ),
-                    tables.find_straggler_ratio(
-                        self._present_times.get(route, {})
-                    ),
-                    self._config.normal_slow,
-                    FAILURE_TOLERANCE_RATIO,
-                )
-                for route in self._new_times
-            ),
-            default=1.0,
+                tables.find_spread(self._new_times.get(route, {})),
+                tables.find_spread(self._present_times.get(route, {})),
+            )
+            for route in self._new_times
+        ]
+        all_new = sum((new for new, _ in spreads), tables.Spread())
+        all_present = sum((each for _, each in spreads), tables.Spread())
+        return min(
+            chances.find_spread_chance(new, present)
+            for new, present in [*spreads, (all_new, all_present)]
         )
 
     def _first_slow_range(self, route: ids.RouteName) -> int | None:
--- a/dragonflyshelf/core/rollouts/tables.py
+++ b/dragonflyshelf/core/rollouts/tables.py
@@ -17,8 +17,8 @@
 MIN_UPSTREAM_RESPONSES: Final = 5
 """Responses from which on an upstream's median service time is used."""
 
-STRAGGLER_FACTOR: Final = 2.4
-"""Multiple of the median of its upstream from which a response straggles."""
+MIN_VARIANCE: Final = 0.25
+"""Variance of service times in ranges below which they count as equal."""
 
 MIN_SLOW_SECONDS: Final = 0.03
 """Service time up to which no response counts as slow.
@@ -56,6 +56,26 @@
         )
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Spread:
+    """Squared distances of service times from a mean, in ranges."""
+
+    squares: float = 0.0
+    total: int = 0
+
+    def __add__(self, other: "Spread") -> "Spread":
+        """Return the spread over the responses of both."""
+        return Spread(
+            squares=self.squares + other.squares,
+            total=self.total + other.total,
+        )
+
+    @property
+    def variance(self) -> float:
+        """Return the variance, at least that of nearly equal times."""
+        return max(self.squares / max(self.total, 1), MIN_VARIANCE)
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Group:
     """What is compared: a route, data centre and whether it is new."""
@@ -89,17 +109,26 @@
     return math.ceil(math.log2(factor) * outcomes.RANGES_PER_DOUBLING)
 
 
-def find_straggler_ratio(times_by_life: TimesByLife) -> Ratio:
-    """Return how many responses are stragglers, over all upstreams."""
-    ratio = Ratio()
+def find_spread(times_by_life: TimesByLife) -> Spread:
+    """Return the spread of service times around each upstream's mean.
+
+    So the speed of upstreams does not matter. Times too short to count as
+    slow are taken as equal.
+    """
+    shortest = outcomes.range_of(MIN_SLOW_SECONDS)
+    spread = Spread()
     for times in times_by_life.values():
-        if sum(times) >= MIN_UPSTREAM_RESPONSES:
-            first = max(
-                find_median(times) + count_ranges(STRAGGLER_FACTOR),
-                outcomes.range_of(MIN_SLOW_SECONDS) + 1,
-            )
-            ratio += Ratio(count=sum(times[first:]), total=sum(times))
-    return ratio
+        total = sum(times)
+        if total < MIN_UPSTREAM_RESPONSES:
+            continue
+        counts = [
+            (max(number, shortest), count)
+            for number, count in enumerate(times)
+        ]
+        mean = sum(number * count for number, count in counts) / total
+        squares = sum(count * (number - mean) ** 2 for number, count in counts)
+        spread += Spread(squares=squares, total=total - 1)
+    return spread
 
 
 def find_median(times: abc.Sequence[int]) -> int:
--- a/tests/core/rollouts/test_replay.py
+++ b/tests/core/rollouts/test_replay.py
@@ -21,6 +21,13 @@
         assert result.step is objects.RolloutStep.ROLLED_BACK
         assert result.keeps_exposure(PROMISES)
 
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_slow_part_of_varied_work(self, seed: int) -> None:
+        """It is taken back though the work differs much in length."""
+        site = replay.Site(kind=replay.Kind.SLOW, **replay.SITES["orders"])
+        result = replay.Replay(site, seed).run()
+        assert result.step is objects.RolloutStep.ROLLED_BACK
+
     @pytest.mark.parametrize("seed", SEEDS)
     def test_leader_lost_meanwhile(self, seed: int) -> None:
         """A successor that knows only the store keeps to the exposure."""
