--- a/tests/platform/test_vocabulary.py
+++ b/tests/platform/test_vocabulary.py
@@ -66,6 +66,7 @@
             "Zone",
             "Slots",
             "State",
+            "Version",
             "WarmupLeftS",
             "born",
         }
@@ -76,7 +77,6 @@
     "Protocol": "services: the router speaks HTTP/1.1 only",
     "Sequence": "registrations: any change of the entry counts",
     "Tls": "services: the router speaks without TLS only",
-    "Version": "registrations: roll-outs are another part",
     "WarmS": "services: what a move without handover costs is not weighed",
 }
 """Names of the pages that the decoders leave out, and why."""
@@ -92,6 +92,7 @@
 REPLICATED_KINDS: Final = {
     "config": store.ObjectKind.CONFIGURATION,
     "evacuations": store.ObjectKind.EVACUATION,
+    "rollouts": store.ObjectKind.ROLLOUT,
     "servers": store.ObjectKind.REGISTRATION,
 }
 
@@ -158,6 +159,7 @@
             )
         )
         assert registration.is_draining == IS_DRAINING_BY_STATE[word]
+        assert registration.version == "v1"
 
     @pytest.mark.parametrize("word", REPLICATED_KINDS)
     def test_object_kind(self, word: str) -> None:
