Take back the placement of ranges by load on services with many upstreams

A range that moves has no holder for about a second, the busiest ranges are those that move, and the measured loads of a second move them again and again.

--- a/dragonflyshelf/core/grantor/const.py
+++ b/dragonflyshelf/core/grantor/const.py
@@ -53,16 +53,12 @@
 CONCURRENT_MOVES_PER_UPSTREAM_RATIO: Final = 0.25
 """Limit on concurrent rebalancing moves, per candidate upstream."""
 
-MIN_RANGE_COUNT_LIMIT: Final = 160
-"""Number of ranges of a service up to which it is always rebalanced.
+MAX_REBALANCED_RANGE_COUNT: Final = 160
+"""Number of ranges of a service above which it is not rebalanced.
 
-Each move may split a range and so add to that number; each range is a grant
-to be renewed.
+Each move may split a range and so add to that number.
 """
 
-MAX_RANGES_PER_UPSTREAM: Final = 2
-"""Ranges per upstream up to which a service with many is rebalanced."""
-
 OVERLOAD_RATIO: Final = 1.25
 """Utilization, relative to the mean, above which ranges are moved away."""
 
--- a/dragonflyshelf/core/grantor/planning.py
+++ b/dragonflyshelf/core/grantor/planning.py
@@ -1,5 +1,6 @@
 """Assignment of a service's shard ranges to upstreams."""
 
+import collections
 from collections import abc
 import dataclasses
 
@@ -74,6 +75,40 @@
     )
 
 
+class RangeCounts:
+    """Counts ranges by holder, to find the one with the fewest."""
+
+    def __init__(
+        self,
+        candidates: Registrations,
+        assignments: abc.Iterable[objects.Assignment],
+    ) -> None:
+        """Count the ranges of the candidates."""
+        self._candidates_by_incarnation = {
+            candidate.incarnation: candidate for candidate in candidates
+        }
+        self.range_counts_by_incarnation: collections.Counter[
+            ids.UpstreamIncarnation
+        ] = collections.Counter(
+            {incarnation: 0 for incarnation in self._candidates_by_incarnation}
+        )
+        for assignment in assignments:
+            if assignment.life in self._candidates_by_incarnation:
+                self.range_counts_by_incarnation[assignment.life] += 1
+
+    def pick_least_loaded(self) -> upstreams.Registration:
+        """Return the upstream with the fewest ranges and count one more."""
+        incarnation = min(
+            self.range_counts_by_incarnation,
+            key=lambda holder: (
+                self.range_counts_by_incarnation[holder],
+                holder,
+            ),
+        )
+        self.range_counts_by_incarnation[incarnation] += 1
+        return self._candidates_by_incarnation[incarnation]
+
+
 def split(
     assignment: objects.Assignment, first: ids.ShardKey, last: ids.ShardKey
 ) -> tuple[objects.Assignment, ...]:
--- a/dragonflyshelf/core/grantor/rebalancing.py
+++ b/dragonflyshelf/core/grantor/rebalancing.py
@@ -14,6 +14,7 @@
 from dragonflyshelf.core.grantor import planning
 from dragonflyshelf.core import ids
 from dragonflyshelf.core.upstreams import objects as upstreams
+from dragonflyshelf.core.upstreams import service_times
 
 Assignments = tuple[objects.Assignment, ...]
 
@@ -21,8 +22,37 @@
 MIN_MOVED_REQUESTS_PER_SECOND = 0.2
 """Load below which a subrange is not moved away from a hot bucket."""
 
-MIN_REQUESTS_PER_SECOND_AND_KEY = 1e-9
-"""Load assumed of each key, so that without reports keys are counted."""
+MIN_SERVICE_TIME_SECONDS = 0.001
+"""Lower limit on the service time; it avoids a division by zero."""
+
+
+def capacities(
+    candidates: abc.Collection[upstreams.Registration],
+    service_times_by_incarnation: dict[
+        ids.UpstreamIncarnation, service_times.ServiceTimeSum
+    ],
+) -> dict[ids.UpstreamIncarnation, float]:
+    """Return the slots of each upstream, scaled by its relative speed."""
+    measurements = [
+        service_times_by_incarnation[candidate.incarnation]
+        for candidate in candidates
+        if candidate.incarnation in service_times_by_incarnation
+    ]
+    mean = service_times.mean_service_time(measurements, default=1.0)
+    capacity_by_incarnation = {
+        candidate.incarnation: float(candidate.slots)
+        for candidate in candidates
+    }
+    for measurement in measurements:
+        speed = mean / max(
+            measurement.service_time(mean), MIN_SERVICE_TIME_SECONDS
+        )
+        speed = min(
+            max(speed, 1 / const.MAX_RELATIVE_SPEED_RATIO),
+            const.MAX_RELATIVE_SPEED_RATIO,
+        )
+        capacity_by_incarnation[measurement.life] *= speed
+    return capacity_by_incarnation
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -71,17 +101,10 @@
             candidate.incarnation: candidate for candidate in candidates
         }
         self._capacity_by_incarnation = capacity_by_incarnation
-        self._max_range_count = max(
-            const.MIN_RANGE_COUNT_LIMIT,
-            const.MAX_RANGES_PER_UPSTREAM * len(capacity_by_incarnation),
-        )
         reported = dict(load_by_bucket)
-        self.total_rate = reported.pop(objects.TOTAL_LOAD_KEY, 0.0)
-        unreported = max(self.total_rate - sum(reported.values()), 0.0)
-        self._unreported_rate_per_key = max(
-            unreported / objects.SHARD_KEY_COUNT,
-            MIN_REQUESTS_PER_SECOND_AND_KEY,
-        )
+        total = reported.pop(objects.TOTAL_LOAD_KEY, 0.0)
+        unreported = max(total - sum(reported.values()), 0.0)
+        self._unreported_rate_per_key = unreported / objects.SHARD_KEY_COUNT
         self._bucket_rates = sorted(reported.items())
         self._buckets = [first for first, _ in self._bucket_rates]
         self._load_by_incarnation = dict.fromkeys(
@@ -102,29 +125,6 @@
             [self._assignments_by_first_key[first] for first in first_keys]
         )
 
-    def find_rate(self, assignment: objects.Assignment) -> float:
-        """Return the load of a range, in requests per second."""
-        return self._total_rate(assignment.first, assignment.last)
-
-    def place(self, assignment: objects.Assignment) -> objects.Assignment:
-        """Return a range whose holder is not usable with the best new one.
-
-        That is the candidate that is least utilized with the range. It is
-        counted there.
-        """
-        rate = self.find_rate(assignment)
-        target = min(
-            self._load_by_incarnation,
-            key=lambda incarnation: (
-                self._utilization(incarnation, rate),
-                incarnation,
-            ),
-        )
-        self._load_by_incarnation[target] += rate
-        return planning.moved(
-            assignment, self._candidates_by_incarnation[target]
-        )
-
     def _reported_rates(
         self, first: ids.ShardKey, last: ids.ShardKey
     ) -> list[tuple[ids.ShardKey, float]]:
@@ -145,7 +145,10 @@
     def _make_next_move(self) -> bool:
         if len(self._load_by_incarnation) < 2:
             return False
-        if len(self._assignments_by_first_key) > self._max_range_count:
+        if (
+            len(self._assignments_by_first_key)
+            > const.MAX_REBALANCED_RANGE_COUNT
+        ):
             return False
         total = sum(self._load_by_incarnation.values())
         mean_utilization = total / sum(self._capacity_by_incarnation.values())
--- a/dragonflyshelf/core/grantor/shards.py
+++ b/dragonflyshelf/core/grantor/shards.py
@@ -5,7 +5,6 @@
 released it, fenced by a higher epoch, or all former grants have expired.
 """
 
-from dragonflyshelf.core.grantor import capacity
 from dragonflyshelf.core.grantor import const
 from dragonflyshelf.core.grantor import failure_detector
 from dragonflyshelf.core.grantor import hold
@@ -196,17 +195,17 @@
     ) -> tuple[objects.Assignment, ...]:
         """Return the assignments with ended moves settled and new moves."""
         keepers = self._holders.keepers(now)
-        settled_grants = [
-            (grant, self._settle(grant)) for grant in self._grants
-        ]
-        lost = {
-            assignment.first
-            for grant, assignment in settled_grants
-            if assignment.life not in keepers and grant.can_move()
-        }
-        planned = tuple(assignment for _, assignment in settled_grants)
-        if lost:
-            planned = self._replace_holders(planned, lost, candidates, now)
+        current = [grant.assignment for grant in self._grants]
+        range_counts = planning.RangeCounts(candidates, current)
+        assignments = []
+        for grant in self._grants:
+            assignment = self._settle(grant)
+            if assignment.life not in keepers and grant.can_move():
+                assignment = planning.moved(
+                    assignment, range_counts.pick_least_loaded()
+                )
+            assignments.append(assignment)
+        planned = tuple(assignments)
         if now < self._next_rebalance_at:
             return planned
         self._next_rebalance_at = ids.Instant(
@@ -214,50 +213,6 @@
         )
         return self._rebalanced(planned, candidates, now)
 
-    def _replace_holders(
-        self,
-        assignments: tuple[objects.Assignment, ...],
-        lost: set[ids.ShardKey],
-        candidates: list[upstreams.Registration],
-        now: ids.Instant,
-    ) -> tuple[objects.Assignment, ...]:
-        """Move the ranges that begin at the ``lost`` keys, busiest first."""
-        rebalancer = self._make_rebalancer(assignments, candidates, now)
-        moved_by_first_key = {
-            assignment.first: rebalancer.place(assignment)
-            for assignment in sorted(
-                (
-                    assignment
-                    for assignment in assignments
-                    if assignment.first in lost
-                ),
-                key=rebalancer.find_rate,
-                reverse=True,
-            )
-        }
-        return tuple(
-            moved_by_first_key.get(assignment.first, assignment)
-            for assignment in assignments
-        )
-
-    def _make_rebalancer(
-        self,
-        assignments: tuple[objects.Assignment, ...],
-        candidates: list[upstreams.Registration],
-        now: ids.Instant,
-    ) -> rebalancing.Rebalancer:
-        load = self.load_tracker.load_by_bucket(now)
-        return rebalancing.Rebalancer(
-            assignments,
-            candidates,
-            load,
-            capacity.find_capacities(
-                candidates,
-                self._service_times_by_incarnation,
-                load.get(objects.TOTAL_LOAD_KEY, 0.0),
-            ),
-        )
-
     def _rebalanced(
         self,
         assignments: tuple[objects.Assignment, ...],
@@ -272,9 +227,18 @@
         max_moves -= sum(
             not assignment.is_settled for assignment in assignments
         )
-        rebalancer = self._make_rebalancer(assignments, candidates, now)
-        if rebalancer.total_rate < const.MIN_REBALANCE_REQUESTS_PER_SECOND:
+        load = self.load_tracker.load_by_bucket(now)
+        if (
+            load.get(objects.TOTAL_LOAD_KEY, 0.0)
+            < const.MIN_REBALANCE_REQUESTS_PER_SECOND
+        ):
             return assignments
+        capacity = rebalancing.capacities(
+            candidates, self._service_times_by_incarnation
+        )
+        rebalancer = rebalancing.Rebalancer(
+            assignments, candidates, load, capacity
+        )
         return rebalancer.rebalance(max_moves)
 
     def _settle(self, grant: range_grants.RangeGrant) -> objects.Assignment:
--- a/tests/core/grantor/test_rebalancing.py
+++ b/tests/core/grantor/test_rebalancing.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 
-from dragonflyshelf.core.grantor import capacity
 from dragonflyshelf.core.grantor import const
 from dragonflyshelf.core.grantor import objects
 from dragonflyshelf.core.grantor import planning
@@ -40,9 +39,7 @@
         assignments,
         UPSTREAMS,
         {ids.ShardKey(key): rate for key, rate in load.items()},
-        capacity.find_capacities(
-            UPSTREAMS, sums_by_incarnation, load[TOTAL_LOAD_KEY]
-        ),
+        rebalancing.capacities(UPSTREAMS, sums_by_incarnation),
     ).rebalance(const.MIN_CONCURRENT_MOVE_COUNT)
 
 
