--- a/tests/core/rollouts/test_replay.py
+++ b/tests/core/rollouts/test_replay.py
@@ -28,6 +28,13 @@
         result = replay.Replay(site, seed).run()
         assert result.step is objects.RolloutStep.ROLLED_BACK
 
+    @pytest.mark.parametrize("seed", (*SEEDS, 0, 5, 7))
+    def test_exposure_to_varied_work(self, seed: int) -> None:
+        """Callers met no more of it than promised."""
+        site = replay.Site(kind=replay.Kind.SLOW, **replay.SITES["orders"])
+        result = replay.Replay(site, seed).run()
+        assert result.keeps_exposure(PROMISES)
+
     @pytest.mark.parametrize("seed", SEEDS)
     def test_leader_lost_meanwhile(self, seed: int) -> None:
         """A successor that knows only the store keeps to the exposure."""
