--- a/stand_ins/objects.py
+++ b/stand_ins/objects.py
@@ -67,7 +67,9 @@
             raise RevisionConflict(current)
         if current["Spec"] == spec:
             return current
-        return self._put(kind, name, spec, current["Status"])
+        stored = self._put(kind, name, spec)
+        stored["Status"] = current["Status"]
+        return stored
 
     def replace_status(
         self,
@@ -87,7 +89,9 @@
             raise RevisionConflict(current)
         if current["Status"] == status:
             return current
-        return self._put(kind, name, current["Spec"], status)
+        stored = self._put(kind, name, current["Spec"])
+        stored["Status"] = status
+        return stored
 
     def remove(self, kind: str, name: str) -> None:
         """Remove an object if it exists."""
@@ -119,14 +123,12 @@
         self._changes.clear()
         self._oldest_revision = self.revision + 1
 
-    def _put(
-        self, kind: str, name: str, spec: Any, status: Any = None
-    ) -> dict[str, Any]:
+    def _put(self, kind: str, name: str, spec: Any) -> dict[str, Any]:
         self.revision += 1
         stored = {
             "Metadata": {"Name": name, "Revision": self.revision},
             "Spec": spec,
-            "Status": status,
+            "Status": None,
         }
         self._objects_by_kind.setdefault(kind, {})[name] = stored
         self._record(kind, False, stored)
