Leave the queues of holders to the instances unless brokers are asked for

Result: tests of core/slots, core/scheduling, codec and docs pass; the new test fails while members ask whatever the settings say.

--- a/dragonflyshelf/core/scheduling/coordinator.py
+++ b/dragonflyshelf/core/scheduling/coordinator.py
@@ -58,7 +58,7 @@
             self.fleet, self.dispatcher, self._slot_broker
         )
         self._slot_placement = slot_placement.SlotPlacement(
-            self.fleet, self.dispatcher
+            config.slots, self.fleet, self.dispatcher
         )
         self._retry_policy = retries.RetryPolicy(config, self.retry_budget)
         self.shard_loads = loads.ShardLoads()
@@ -156,8 +156,11 @@
     def _on_broker_changed(
         self, event: slots.BrokerChanged, now: ids.Instant
     ) -> Effects:
-        self._slot_placement.client.set_available(event.is_available, now)
-        return [slots.CAPABILITY_QUERY] if event.is_available else []
+        placement = self._slot_placement
+        placement.client.set_available(event.is_available, now)
+        if event.is_available and placement.asks_for_holders:
+            return [slots.CAPABILITY_QUERY]
+        return []
 
     @HANDLERS.register(slots.SlotRequested)
     def _on_slot_requested(
--- a/dragonflyshelf/core/scheduling/slot_placement.py
+++ b/dragonflyshelf/core/scheduling/slot_placement.py
@@ -8,6 +8,7 @@
 from dragonflyshelf.core.scheduling import exchanges
 from dragonflyshelf.core.scheduling import fleet as fleets
 from dragonflyshelf.core.scheduling import retries
+from dragonflyshelf.core import settings
 from dragonflyshelf.core.slots import client
 from dragonflyshelf.core.slots import messages
 from dragonflyshelf.core.slots import tickets
@@ -19,9 +20,13 @@
     """Slot requests of this instance's exchanges, and their reports."""
 
     def __init__(
-        self, fleet: fleets.Fleet, dispatcher: dispatchers.RequestDispatcher
+        self,
+        config: settings.SlotSettings,
+        fleet: fleets.Fleet,
+        dispatcher: dispatchers.RequestDispatcher,
     ) -> None:
         """Create a placement without a broker."""
+        self.asks_for_holders = config.holders is settings.HolderQueue.BROKER
         self._fleet = fleet
         self._dispatcher = dispatcher
         self.client = client.SlotClient()
@@ -153,7 +158,9 @@
         It is told what is under way, so that it counts that, and asked for
         what waits since the former broker.
         """
-        if self.client.serves_holders or not event.serves_holders:
+        if not self.asks_for_holders or not event.serves_holders:
+            return []
+        if self.client.serves_holders:
             return []
         self.client.serves_holders = True
         self._fleet.broker_role = fleets.BrokerRole.MEMBER
--- a/dragonflyshelf/core/settings.py
+++ b/dragonflyshelf/core/settings.py
@@ -18,6 +18,13 @@
 RATIO_RANGE = ranges.Range(minimum=0, maximum=1)
 
 
+class HolderQueue(enum.Enum):
+    """Who counts the room of a holder and queues the requests for it."""
+
+    BROKER = "broker"
+    INSTANCE = "instance"
+
+
 class LogLevel(enum.Enum):
     """Minimum severity of logged messages."""
 
@@ -292,6 +299,17 @@
     drained: Annotated[float, DURATION_RANGE] = 0.9
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SlotSettings:
+    """Section ``slots``: who keeps the queues of a divided service's holders.
+
+    With ``broker`` that is the relay of the data centre, for all of its
+    members; without a relay, and with ``instance``, each instance.
+    """
+
+    holders: HolderQueue = HolderQueue.INSTANCE
+
+
 RELOADABLE_SECTIONS: Final = ("freshness", "log", "requests", "retries")
 """Sections that can be changed without a restart."""
 
@@ -311,6 +329,7 @@
     retries: RetrySettings = RetrySettings()
     rollouts: RolloutSettings = RolloutSettings()
     shutdown: ShutdownSettings = ShutdownSettings()
+    slots: SlotSettings = SlotSettings()
     store: StoreSettings = StoreSettings()
     upstreams: UpstreamSettings = UpstreamSettings()
 
--- a/tests/core/scheduling/world.py
+++ b/tests/core/scheduling/world.py
@@ -123,6 +123,7 @@
             name=ids.InstanceId(instance), data_centre=ids.DataCentreId("a")
         ),
         retries=settings.RetrySettings(share=0.2, reserve=56.0, window=10.0),
+        slots=settings.SlotSettings(holders=settings.HolderQueue.BROKER),
     )
 
 
@@ -234,10 +235,14 @@
 def make_harness(
     *registrations: upstreams.Registration,
     config: routing.Configuration | None = None,
+    process: settings.Settings | None = None,
 ) -> SchedulerHarness:
-    """Return a harness with a confirmed configuration and upstreams."""
+    """Return a harness with a confirmed configuration and upstreams.
+
+    ``process`` are the settings, by default those of ``make_settings``.
+    """
     created = SchedulerHarness(
-        core=coordinator.SchedulingCoordinator(make_settings())
+        core=coordinator.SchedulingCoordinator(process or make_settings())
     )
     created.handle(
         scheduling.ConfigurationChanged(
--- a/tests/core/slots/test_holders.py
+++ b/tests/core/slots/test_holders.py
@@ -7,6 +7,7 @@
 from dragonflyshelf.core import errors
 from dragonflyshelf.core import ids
 from dragonflyshelf.core.scheduling import messages as scheduling
+from dragonflyshelf.core import settings
 from dragonflyshelf.core.slots import const
 from dragonflyshelf.core.slots import messages
 from dragonflyshelf.core import states
@@ -596,3 +597,31 @@
             )
         model.run(8.0, 250.0)
         self.check(model)
+
+
+class TestWithoutBrokersOfHolders:
+    """The default: each instance counts the room of holders for itself."""
+
+    def test_nothing_is_asked_for(self) -> None:
+        """A broker that serves holders is not asked for one."""
+        config = dataclasses.replace(
+            worlds.make_settings(), slots=settings.SlotSettings()
+        )
+        harness = worlds.make_harness(HOLDER, process=config)
+        harness.handle(
+            scheduling.AssignmentsChanged(plan=worlds.plan(U1, "u1"))
+        )
+        harness.handle(messages.BrokerChanged(is_available=True))
+        harness.handle(
+            messages.SlotAssignment(
+                number=messages.CAPABILITY_QUERY_NUMBER,
+                incarnation=messages.NO_UPSTREAM,
+                serves_holders=True,
+            )
+        )
+        exchange = harness.request("/old/1", shard_key=KEY)
+        assert harness.sent_to(exchange) == ["u1"]
+        assert not any(
+            isinstance(effect, messages.SlotRequest | messages.SlotInUse)
+            for effect in harness.effects
+        )
