review: cases 6 to 8 record what was sent, answered and run

Cause: the records had only what broke. Change: the frame of the cases writes all events in order of time.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -166,6 +166,12 @@
     lost_count = 0
     for number, client in enumerate(clients):
         seconds = client.ended_at - signalled_at
+        case.event(client.sent_at, f"sent large{number}")
+        case.event(
+            client.ended_at,
+            f"answered large{number}: {len(client.received)} bytes,"
+            f" {client.end}",
+        )
         case.note(
             f"client {number}: {client.end},"
             f" {len(client.received)} bytes, sent"
--- a/review/support-2/frame.py
+++ b/review/support-2/frame.py
@@ -29,6 +29,7 @@
         self.has_trouble = os.environ.get("TROUBLE", "1") != "0"
         self.started_at = time.monotonic()
         self.lines = []
+        self.events = []
         self.nodes = []
         self.targets = []
         self.store = None
@@ -38,13 +39,37 @@
         """Add a line to the record."""
         self.lines.append(f"{time.monotonic() - self.started_at:8.3f} {text}")
 
+    def event(self, instant, text):
+        """Add what was sent, answered or run at an instant."""
+        self.events.append((instant, text))
+
+    def note_answer(self, answer):
+        """Add when a request was sent and how it was answered."""
+        self.event(answer.sent_at, f"sent {answer.id}")
+        result = answer.status or answer.error
+        self.event(answer.ended_at, f"answered {answer.id}: {result}")
+
+    def note_runs(self):
+        """Add what the targets have run."""
+        for target in self.targets:
+            for run in target.runs:
+                key = "" if run.key is None else f" key {run.key}"
+                text = f"{run.target} runs {run.id}{key}"
+                self.event(run.started_at, text)
+                if run.ended_at < float("inf"):
+                    self.event(run.ended_at, f"{run.target} ends {run.id}")
+
     def at(self, instant):
         """Return an instant in seconds since the start of the case."""
         return instant - self.started_at
 
     def write_record(self):
-        """Write the record, in order of time."""
-        text = "".join(f"{line}\n" for line in self.lines)
+        """Write the notes, and then the events in order of time."""
+        events = [
+            f"{self.at(instant):8.3f} {text}"
+            for instant, text in sorted(self.events)
+        ]
+        text = "".join(f"{line}\n" for line in [*self.lines, "", *events])
         (self.folder / "record.txt").write_text(text, encoding="utf-8")
 
     def put(self, kind, name, spec):
@@ -155,6 +180,7 @@
         case.note("could not run:\n" + traceback.format_exc())
         traceback.print_exc()
     case.note(f"exit {result}")
+    case.note_runs()
     case.write_record()
     print("\n".join(case.lines[-12:]))
     sys.exit(result)
