--- a/review/support-2/deployment.py
+++ b/review/support-2/deployment.py
@@ -19,6 +19,9 @@
 PLACEHOLDER = re.compile(r"\{\{([\w.]+)\}\}")
 READY_SECONDS = 30.0
 
+PREPARE = None
+"""What a process does before the program starts, None for nothing."""
+
 BOUNDS = {
     "ConfigApplyS": 2,
     "ContactS": 3,
@@ -98,6 +101,7 @@
                 },
                 stdout=log,
                 stderr=log,
+                preexec_fn=PREPARE,
             )
 
     def signal(self, number):
